--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -113,8 +113,11 @@
                                   commands &Out) {
   if (Request.Deadline - Now < LeastTimeLeft)
     return false;
-  const listed_server *Server =
-      Pool.take(Request.Service, Request.Tried, Now, Random);
+  const bool IsLastChance =
+      Request.Route->Execution == execution_rule::AtMostOnce ||
+      Request.Attempts + 1 >= Request.Route->MaxAttempts;
+  const listed_server *Server = Pool.take(Request.Service, Request.Tried,
+                                          IsLastChance, Now, Random);
   if (Server == nullptr)
     return false;
   const attempt_number Attempt(++Request.Attempts + Request.ConnectFailures);
@@ -188,12 +191,12 @@
     // It does not count as a try of the request.
     --Request.Attempts;
     ++Request.ConnectFailures;
-    Pool.addEvidence(Ended->Server, 0, 1, Now);
+    Pool.addPathFailure(Ended->Server, Now);
     break;
   case attempt_outcome::Broken:
     Request.MayHaveRun = true;
     if (!Ended->IsSlow)
-      Pool.addEvidence(Ended->Server, 0, 1, Now);
+      Pool.addPathFailure(Ended->Server, Now);
     break;
   }
   report(Request,
@@ -314,7 +317,7 @@
   const std::optional<attempt> Ended =
       closeAttempt(Found->second, Event.Attempt);
   if (Ended && !Event.IsComplete)
-    Pool.addEvidence(Ended->Server, 0, 1, Now);
+    Pool.addPathFailure(Ended->Server, Now);
   finish(Found);
 }
 
@@ -390,7 +393,7 @@
   if (Attempt.IsSlow || Now - Attempt.Started < slowAfter(*Request.Route))
     return;
   Attempt.IsSlow = true;
-  Pool.addEvidence(Attempt.Server, 0, 1, Now);
+  Pool.addPathFailure(Attempt.Server, Now);
 }
 
 void gateway_engine::recordLatency(const request_state &Request,
--- a/modules/bw_gateway/engine/gateway_engine.h
+++ b/modules/bw_gateway/engine/gateway_engine.h
@@ -49,9 +49,13 @@
 
   /// Own observations since the last call, for other hosts.
   std::vector<server_report> takeReport() { return Pool.takeReport(); }
+  /// A failure was seen that other hosts should know of soon.
+  bool hasNewFailure() const { return Pool.hasNewFailure(); }
 
   std::size_t openRequests() const { return Requests.size(); }
   config_version version() const;
+  /// Of the list of servers in use.
+  store_revision listRevision() const { return Pool.revision(); }
   /// True when a configuration and a list of servers are known.
   bool isReady() const { return Configuration && Pool.isListed(); }
 
--- a/modules/bw_gateway/messages/gateway_events.h
+++ b/modules/bw_gateway/messages/gateway_events.h
@@ -64,11 +64,13 @@
   request_number Request;
 };
 
-/// The backend servers as the platform lists them now.
+/// State of the platform's store; grows with each change there.
+using store_revision = strong_number<struct store_revision_tag>;
+
+/// The backend servers as the platform listed them at a revision.
 struct servers_listed {
+  store_revision Revision;
   std::vector<listed_server> Servers;
-  /// The list was read after a time in which it could not be.
-  bool IsAfterOutage = false;
 };
 
 struct configuration_read {
@@ -86,6 +88,9 @@
 
 struct peer_reported {
   host_id Host;
+  /// The report names all servers at which the host has requests; otherwise
+  /// only servers that failed.
+  bool HasLoad = true;
   std::vector<server_report> Servers;
 };
 
--- a/modules/bw_gateway/servers/server_choices.cpp
+++ b/modules/bw_gateway/servers/server_choices.cpp
@@ -17,8 +17,9 @@
 // Bytes between data centres are costly and take a round trip of 8 ms, little
 // beside a service time of 100 ms or more.
 constexpr double RemoteWeight = 0.25;
-// A failed request costs a new attempt, or is lost when it must not repeat.
-constexpr double FailureWeight = 5;
+// A failed request costs a new attempt at another server, or is lost.
+constexpr double FailureWeight = 2.5;
+constexpr double LossWeight = 8;
 // Hosts that see the same numbers must not all choose the same server.
 constexpr double RandomWeight = 0.2;
 
@@ -32,7 +33,8 @@
     Delay += ColdWeight;
   if (Candidate.IsRemote)
     Delay += RemoteWeight;
-  return Delay + FailureWeight * Candidate.FailureShare;
+  return Delay + (Candidate.IsLastChance ? LossWeight : FailureWeight) *
+                     Candidate.FailureShare;
 }
 
 } // namespace
--- a/modules/bw_gateway/servers/server_evidence.h
+++ b/modules/bw_gateway/servers/server_evidence.h
@@ -5,24 +5,27 @@
 
 namespace bw {
 
-/// Good and bad outcomes of one server, older ones weighing less. Outcomes of
-/// other hosts count like own ones, since a single host sees only a few
-/// requests a second over all servers.
+/// Probability that a server is failing now, from the outcomes of requests: a
+/// filter with two states (well, failing) that servers change between at random
+/// times. Without outcomes it returns to the usual probability.
 class server_evidence {
 public:
+  /// Numbers of good and bad outcomes since the last call; parts of one count
+  /// as weaker evidence.
   void add(double Good, double Bad, time_point Now);
 
-  /// Estimated share of requests that fail, between 0 and 1.
+  /// Between 0 and 1.
+  double failing(time_point Now) const;
+  /// Expected share of failures of the next request, between 0 and 1.
   double failureShare(time_point Now) const;
-  /// Weight of the bad outcomes that still count.
-  double bad(time_point Now) const { return Bad * decay(Now); }
 
 private:
-  double decay(time_point Now) const;
-
-  double Good = 0;
-  double Bad = 0;
+  /// Probability of the state "failing" at the time below.
+  double Failing = UsualFailing;
   time_point At{};
+
+  /// Share of servers that are failing at any time.
+  static constexpr double UsualFailing = 0.05;
 };
 
 } // namespace bw
--- a/modules/bw_gateway/servers/server_pool.cpp
+++ b/modules/bw_gateway/servers/server_pool.cpp
@@ -13,9 +13,11 @@
 // A host reports several times a second; after this silence its requests are
 // taken to have ended.
 constexpr duration PeerSilence = std::chrono::milliseconds(1500);
-// A server is passed over only when it fails more often than its service by
-// this factor, so that an overload of all servers ejects none.
+// A server is passed over only if it fails more often than its service by this
+// factor, so that an overload of all servers ejects none.
 constexpr double WorseThanService = 1.6;
+// Weight, as a failure of the server, of one that may be the path's.
+constexpr double PathFailureWeight = 0.5;
 
 using change_kind = pool_change::kind;
 
@@ -24,9 +26,12 @@
 std::vector<pool_change> server_pool::update(const servers_listed &List,
                                              time_point Now) {
   std::vector<pool_change> Result;
-  if (List.IsAfterOutage && Listed)
+  if (ListedAt && List.Revision < Revision)
+    return Result;
+  if (ListedAt && Now - *ListedAt > Options.OutageAfter)
     OutageEnd = Now;
-  Listed = true;
+  ListedAt = Now;
+  Revision = List.Revision;
   for (entry &Entry : Entries)
     if (Entry.Used && !Entry.MissingSince)
       Entry.MissingSince = Now;
@@ -71,7 +76,6 @@
     FreeIndexes.pop_back();
   }
   Entries[Index] = {.Server = Server,
-                    .Evidence = {},
                     .ColdUntil = Now + Server.ColdRemaining,
                     .Used = true};
   Indexes.emplace(Server.Server, Index);
@@ -98,7 +102,7 @@
 
 void server_pool::collectUsable(const service_id &Service,
                                 std::span<const backend_server_id> Excluded,
-                                time_point Now) {
+                                bool IsLastChance, time_point Now) {
   Candidates.clear();
   const auto Found = Services.find(Service);
   if (Found == Services.end())
@@ -113,35 +117,38 @@
         {.Index = Index,
          .Slots = std::max(Entry.Server.Slots.value(), 1U),
          .InFlight = double(Entry.OwnInFlight) + Entry.PeerInFlight,
-         .FailureShare = Entry.Evidence.failureShare(Now),
+         .FailureShare = failureShare(Entry, Now),
          .IsRemote = Entry.Server.DataCentre != Options.OwnDataCentre,
-         .IsCold = Now < Entry.ColdUntil});
+         .IsCold = Now < Entry.ColdUntil,
+         .IsLastChance = IsLastChance});
   }
 }
 
+double server_pool::failureShare(const entry &Entry, time_point Now) {
+  return std::max(Entry.Shared.failureShare(Now),
+                  Entry.Own.failureShare(Now));
+}
+
 // Drops the candidates that fail far more often than the others, worst first,
 // as long as the floor allows it.
-void server_pool::passOverFailing(time_point Now, std::size_t ServiceSize) {
+void server_pool::passOverFailing(std::size_t ServiceSize) {
   double Mean = 0;
   for (const server_candidate &Each : Candidates)
     Mean += Each.FailureShare / double(Candidates.size());
-  std::stable_sort(Candidates.begin(), Candidates.end(),
-                   [](const auto &Left, const auto &Right) {
-                     return Left.FailureShare < Right.FailureShare;
-                   });
+  const double Limit =
+      std::max(Options.EjectAtFailureShare, WorseThanService * Mean);
   auto MayDrop = static_cast<std::size_t>(
       std::floor((1 - Options.FloorShare.value()) * double(ServiceSize)));
-  while (Candidates.size() > 1) {
-    const server_candidate &Worst = Candidates.back();
-    entry &Entry = Entries[Worst.Index];
-    const bool IsFailing = Worst.FailureShare >= Options.EjectAtFailureShare &&
-                           Worst.FailureShare >= WorseThanService * Mean &&
-                           Entry.Evidence.bad(Now) >= Options.EjectAtBadWeight;
-    if (!IsFailing || MayDrop == 0)
-      break;
-    setEjected(Entry, true, Worst.FailureShare);
+  std::sort(Candidates.begin(), Candidates.end(),
+            [](const auto &Left, const auto &Right) {
+              return Left.FailureShare < Right.FailureShare;
+            });
+  for (; Candidates.size() > 1 && MayDrop > 0 &&
+         Candidates.back().FailureShare >= Limit;
+       --MayDrop) {
+    setEjected(Entries[Candidates.back().Index], true,
+               Candidates.back().FailureShare);
     Candidates.pop_back();
-    --MayDrop;
   }
   for (const server_candidate &Kept : Candidates)
     setEjected(Entries[Kept.Index], false, Kept.FailureShare);
@@ -159,13 +166,13 @@
 
 const listed_server *
 server_pool::take(const service_id &Service,
-                  std::span<const backend_server_id> Excluded, time_point Now,
-                  random_source &Random) {
+                  std::span<const backend_server_id> Excluded,
+                  bool IsLastChance, time_point Now, random_source &Random) {
   expirePeers(Now);
-  collectUsable(Service, Excluded, Now);
+  collectUsable(Service, Excluded, IsLastChance, Now);
   if (Candidates.empty())
     return nullptr;
-  passOverFailing(Now, Services.at(Service).size());
+  passOverFailing(Services.at(Service).size());
   entry &Chosen = Entries[Candidates[Options.Choose(Candidates, Random)].Index];
   ++Chosen.OwnInFlight;
   return &Chosen.Server;
@@ -183,11 +190,26 @@
   if (Found == Indexes.end())
     return;
   entry &Entry = Entries[Found->second];
-  Entry.Evidence.add(Good, Bad, Now);
+  Entry.Shared.add(Good, Bad, Now);
+  Entry.Own.add(Good, Bad, Now);
+  NewFailure = NewFailure || Bad > 0;
   Entry.UnreportedGood += static_cast<float>(Good);
   Entry.UnreportedBad += static_cast<float>(Bad);
 }
 
+void server_pool::addPathFailure(const backend_server_id &Server,
+                                 time_point Now) {
+  const auto Found = Indexes.find(Server);
+  if (Found == Indexes.end())
+    return;
+  entry &Entry = Entries[Found->second];
+  Entry.Own.add(0, 1, Now);
+  // Others may reach the server; it takes several hosts to convince them.
+  Entry.Shared.add(0, PathFailureWeight, Now);
+  Entry.UnreportedBad += static_cast<float>(PathFailureWeight);
+  NewFailure = true;
+}
+
 void server_pool::forget(peer_load &Load) {
   for (const auto &[Index, InFlight] : Load.InFlight)
     Entries[Index].PeerInFlight -= InFlight;
@@ -207,16 +229,18 @@
 
 void server_pool::peerReported(const peer_reported &Report, time_point Now) {
   peer_load &Load = Peers[Report.Host];
-  forget(Load);
-  Load.At = Now;
+  if (Report.HasLoad) {
+    forget(Load);
+    Load.At = Now;
+  }
   for (const server_report &Each : Report.Servers) {
     const auto Found = Indexes.find(Each.Server);
     if (Found == Indexes.end())
       continue;
     entry &Entry = Entries[Found->second];
     if (Each.Good > 0 || Each.Bad > 0)
-      Entry.Evidence.add(Each.Good, Each.Bad, Now);
-    if (Each.InFlight == 0)
+      Entry.Shared.add(Each.Good, Each.Bad, Now);
+    if (!Report.HasLoad || Each.InFlight == 0)
       continue;
     Entry.PeerInFlight += Each.InFlight;
     Load.InFlight.emplace_back(Found->second, Each.InFlight);
@@ -225,6 +249,7 @@
 
 std::vector<server_report> server_pool::takeReport() {
   std::vector<server_report> Result;
+  NewFailure = false;
   for (entry &Entry : Entries) {
     if (!Entry.Used || (Entry.UnreportedGood == 0 && Entry.UnreportedBad == 0 &&
                         Entry.OwnInFlight == 0))
@@ -251,7 +276,5 @@
 double server_pool::failureShare(const backend_server_id &Server,
                                  time_point Now) const {
   const auto Found = Indexes.find(Server);
-  return Found == Indexes.end()
-             ? 0
-             : Entries[Found->second].Evidence.failureShare(Now);
+  return Found == Indexes.end() ? 0 : failureShare(Entries[Found->second], Now);
 }
--- a/modules/bw_gateway/servers/server_pool.h
+++ b/modules/bw_gateway/servers/server_pool.h
@@ -17,7 +17,7 @@
 
 namespace bw {
 
-/// What a choice knows of one server.
+/// What a choice knows of one server, for one request.
 struct server_candidate {
   std::uint32_t Index = 0;
   std::uint32_t Slots = 1;
@@ -26,6 +26,8 @@
   double FailureShare = 0;
   bool IsRemote = false;
   bool IsCold = false;
+  /// The request cannot be sent to another server after a failure.
+  bool IsLastChance = false;
 };
 
 /// Picks one of the candidates, of which there is at least one. Returns a
@@ -47,10 +49,10 @@
   /// At least this share of a service's servers stays in use, however bad they
   /// look.
   ratio FloorShare{0.7};
-  /// A server with this share of failures is passed over.
+  /// A server whose next request fails with this probability is passed over.
   double EjectAtFailureShare = 0.45;
-  /// Least weight of bad outcomes for that: one failure proves little.
-  double EjectAtBadWeight = 1.2;
+  /// Without a list for this long, entries may have lapsed that come back.
+  duration OutageAfter = std::chrono::milliseconds(2500);
   server_choice Choose = chooseByExpectedDelay;
 };
 
@@ -69,38 +71,49 @@
   explicit server_pool(server_pool_options Options)
       : Options(std::move(Options)) {}
 
-  /// The list as the platform has it now; it decides who may get work. After
-  /// an outage, servers that are missing keep getting work for a short time,
-  /// since their entries lapsed and may return.
+  /// The list as the platform has it now; it decides who may get work. An older
+  /// list than the known one changes nothing. After an outage, servers that are
+  /// missing keep getting work for a short time, since their entries lapsed and
+  /// may return.
   std::vector<pool_change> update(const servers_listed &List, time_point Now);
 
   /// Takes a server of the service for one request. Null when none may get it.
+  /// IsLastChance: a failure there cannot be repaired at another server.
   const listed_server *take(const service_id &Service,
                             std::span<const backend_server_id> Excluded,
-                            time_point Now, random_source &Random);
+                            bool IsLastChance, time_point Now,
+                            random_source &Random);
   /// The request is no longer at the server.
   void release(const backend_server_id &Server);
 
-  /// An outcome that this host saw; it is reported to others.
+  /// Outcomes that this host saw; they are reported to others.
   void addEvidence(const backend_server_id &Server, double Good, double Bad,
                    time_point Now);
+  /// A failure that may be one of this host's own path to the server.
+  void addPathFailure(const backend_server_id &Server, time_point Now);
 
   void peerReported(const peer_reported &Report, time_point Now);
   /// Own observations since the last call, for other hosts.
   std::vector<server_report> takeReport();
+  /// A failure was seen that other hosts do not know of yet.
+  bool hasNewFailure() const { return NewFailure; }
 
   /// Servers whose ejection began or ended since the last call.
   std::vector<pool_change> takeChanges();
 
   /// True once a list was received.
-  bool isListed() const { return Listed; }
+  bool isListed() const { return ListedAt.has_value(); }
+  store_revision revision() const { return Revision; }
   bool hasServers(const service_id &Service) const;
   double failureShare(const backend_server_id &Server, time_point Now) const;
 
 private:
   struct entry {
     listed_server Server;
-    server_evidence Evidence;
+    /// What all hosts saw.
+    server_evidence Shared;
+    /// What this host saw: shows a fault of its own path to the server.
+    server_evidence Own;
     time_point ColdUntil{};
     /// Set while the list does not show the server after an outage.
     std::optional<time_point> MissingSince;
@@ -123,8 +136,9 @@
   void remove(std::uint32_t Index, std::vector<pool_change> &Changes);
   void collectUsable(const service_id &Service,
                      std::span<const backend_server_id> Excluded,
-                     time_point Now);
-  void passOverFailing(time_point Now, std::size_t ServiceSize);
+                     bool IsLastChance, time_point Now);
+  static double failureShare(const entry &Entry, time_point Now);
+  void passOverFailing(std::size_t ServiceSize);
   void setEjected(entry &Entry, bool Ejected, double FailureShare);
   void forget(peer_load &Load);
   void expirePeers(time_point Now);
@@ -138,8 +152,10 @@
   std::vector<pool_change> Changes;
   /// Storage of `take`, kept to save allocations.
   std::vector<server_candidate> Candidates;
+  std::optional<time_point> ListedAt;
   std::optional<time_point> OutageEnd;
-  bool Listed = false;
+  store_revision Revision;
+  bool NewFailure = false;
 };
 
 } // namespace bw
--- a/modules/bw_gateway_daemon/follow/configuration_follower.cpp
+++ b/modules/bw_gateway_daemon/follow/configuration_follower.cpp
@@ -33,8 +33,8 @@
   case watch_end::Changed:
   case watch_end::Unchanged:
     Watched = Result.Revision;
-    if (Result.Reading)
-      Decide->push(configuration_read{Result.Reading->Configuration});
+    if (Result.Configuration)
+      Decide->push(configuration_read{Result.Configuration});
     return duration::zero();
   case watch_end::HistoryGone:
     Watched.reset();
--- a/modules/bw_gateway_daemon/follow/server_follower.cpp
+++ b/modules/bw_gateway_daemon/follow/server_follower.cpp
@@ -7,7 +7,7 @@
 
 server_follower::server_follower(runtime_clock &Clock,
                                  server_follower_options GivenOptions)
-    : service(std::string(ServiceName)), Clock(Clock),
+    : service(std::string(ServiceName)),
       Options(std::move(GivenOptions)),
       Thread(Clock, [this] { return round(); }) {}
 
@@ -21,8 +21,7 @@
 void server_follower::stop() { Thread.stop(); }
 
 duration server_follower::round() {
-  std::optional<servers_reading> Reading = Options.Source.ReadServers();
-  const time_point Now = Clock.now();
+  std::optional<servers_listed> Reading = Options.Source.ReadServers();
   const bool WasAvailable = IsAvailable;
   IsAvailable = Reading.has_value();
   if (IsAvailable != WasAvailable)
@@ -31,9 +30,6 @@
              {{"duty", std::string(ServiceName)}});
   if (!Reading)
     return Options.RetryPause;
-  const bool IsAfterOutage = LastRead && Now - *LastRead > Options.OutageAfter;
-  LastRead = Now;
-  Decide->push(servers_listed{.Servers = std::move(Reading->Servers),
-                              .IsAfterOutage = IsAfterOutage});
+  Decide->push(std::move(*Reading));
   return Options.Interval;
 }
--- a/modules/bw_gateway_daemon/follow/server_follower.h
+++ b/modules/bw_gateway_daemon/follow/server_follower.h
@@ -13,8 +13,6 @@
   /// all hosts within the platform's bound.
   duration Interval = std::chrono::milliseconds(800);
   duration RetryPause = std::chrono::milliseconds(250);
-  /// Without a list for this long, entries may have lapsed that come back.
-  duration OutageAfter = std::chrono::milliseconds(2500);
 };
 
 /// Duty *servers*: reads the platform's list of backend servers again and
@@ -32,10 +30,8 @@
 private:
   duration round();
 
-  runtime_clock &Clock;
   server_follower_options Options;
   gateway_event_ring *Decide = nullptr;
-  std::optional<time_point> LastRead;
   bool IsAvailable = true;
   follower_thread Thread;
 };
--- a/modules/bw_http/client/easy_transfer.cpp
+++ b/modules/bw_http/client/easy_transfer.cpp
@@ -3,6 +3,10 @@
 #include <charconv>
 #include <new>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 using namespace bw;
 
 easy_transfer::easy_transfer(client_request GivenRequest)
@@ -40,6 +44,7 @@
   curl_easy_setopt(Handle, CURLOPT_TCP_KEEPALIVE, 1L);
   curl_easy_setopt(Handle, CURLOPT_TCP_KEEPIDLE, 2L);
   curl_easy_setopt(Handle, CURLOPT_TCP_KEEPINTVL, 1L);
+  curl_easy_setopt(Handle, CURLOPT_SOCKOPTFUNCTION, &limitSilence);
   curl_easy_setopt(Handle, CURLOPT_HEADERFUNCTION, &receiveHeader);
   curl_easy_setopt(Handle, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(Handle, CURLOPT_WRITEFUNCTION, &receiveBody);
@@ -61,6 +66,17 @@
   curl_easy_setopt(Handle, CURLOPT_HTTPHEADER, HeaderList);
 }
 
+// libcurl 7.88 has no option for the number of probes, nor for bytes that are
+// not acknowledged.
+int easy_transfer::limitSilence(void *, curl_socket_t Socket, curlsocktype) {
+  constexpr int Probes = 2;
+  constexpr int UnacknowledgedMilliseconds = 3'000;
+  ::setsockopt(Socket, IPPROTO_TCP, TCP_KEEPCNT, &Probes, sizeof Probes);
+  ::setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+               &UnacknowledgedMilliseconds, sizeof UnacknowledgedMilliseconds);
+  return CURL_SOCKOPT_OK;
+}
+
 std::size_t easy_transfer::receiveHeader(char *Data, std::size_t Size,
                                          std::size_t Count, void *Self) {
   const std::size_t Total = Size * Count;
--- a/modules/bw_http/client/easy_transfer.h
+++ b/modules/bw_http/client/easy_transfer.h
@@ -30,6 +30,8 @@
                                    std::size_t Count, void *Self);
   static std::size_t receiveBody(char *Data, std::size_t Size,
                                  std::size_t Count, void *Self);
+  static int limitSilence(void *Context, curl_socket_t Socket,
+                          curlsocktype Purpose);
   void applyOptions();
   void takeHeaderLine(std::string_view Line);
 
