Let hosts share what they see: load, failures, lists and configuration

Cause: a host alone sees a few requests a second over all servers, so it finds a failing server only by losing requests there; each host read the whole list of servers every 0.8 s; a host that the store turns away knew nothing. Change: hosts make themselves known in the store, report to each other by datagrams (load within a data centre, failures everywhere) and hand out their configuration and list by HTTP; two hosts of a data centre read the list for it.

--- a/modules/bw_gateway/messages/gateway_events.h
+++ b/modules/bw_gateway/messages/gateway_events.h
@@ -71,6 +71,8 @@
 struct servers_listed {
   store_revision Revision;
   std::vector<listed_server> Servers;
+  /// No host had a list for a while: entries may have lapsed that come back.
+  bool IsAfterOutage = false;
 };
 
 struct configuration_read {
--- a/modules/bw_gateway/servers/server_pool.cpp
+++ b/modules/bw_gateway/servers/server_pool.cpp
@@ -26,11 +26,11 @@
 std::vector<pool_change> server_pool::update(const servers_listed &List,
                                              time_point Now) {
   std::vector<pool_change> Result;
-  if (ListedAt && List.Revision < Revision)
+  if (Listed && List.Revision < Revision)
     return Result;
-  if (ListedAt && Now - *ListedAt > Options.OutageAfter)
+  if (Listed && List.IsAfterOutage)
     OutageEnd = Now;
-  ListedAt = Now;
+  Listed = true;
   Revision = List.Revision;
   for (entry &Entry : Entries)
     if (Entry.Used && !Entry.MissingSince)
@@ -75,9 +75,8 @@
     Index = FreeIndexes.back();
     FreeIndexes.pop_back();
   }
-  Entries[Index] = {.Server = Server,
-                    .ColdUntil = Now + Server.ColdRemaining,
-                    .Used = true};
+  Entries[Index] = {
+      .Server = Server, .ColdUntil = Now + Server.ColdRemaining, .Used = true};
   Indexes.emplace(Server.Server, Index);
   Services[Server.Service].push_back(Index);
   Result.push_back({.Kind = change_kind::Added, .Server = Server});
@@ -125,8 +124,7 @@
 }
 
 double server_pool::failureShare(const entry &Entry, time_point Now) {
-  return std::max(Entry.Shared.failureShare(Now),
-                  Entry.Own.failureShare(Now));
+  return std::max(Entry.Shared.failureShare(Now), Entry.Own.failureShare(Now));
 }
 
 // Drops the candidates that fail far more often than the others, worst first,
--- a/modules/bw_gateway/servers/server_pool.h
+++ b/modules/bw_gateway/servers/server_pool.h
@@ -51,8 +51,6 @@
   ratio FloorShare{0.7};
   /// A server whose next request fails with this probability is passed over.
   double EjectAtFailureShare = 0.45;
-  /// Without a list for this long, entries may have lapsed that come back.
-  duration OutageAfter = std::chrono::milliseconds(2500);
   server_choice Choose = chooseByExpectedDelay;
 };
 
@@ -102,7 +100,7 @@
   std::vector<pool_change> takeChanges();
 
   /// True once a list was received.
-  bool isListed() const { return ListedAt.has_value(); }
+  bool isListed() const { return Listed; }
   store_revision revision() const { return Revision; }
   bool hasServers(const service_id &Service) const;
   double failureShare(const backend_server_id &Server, time_point Now) const;
@@ -152,7 +150,7 @@
   std::vector<pool_change> Changes;
   /// Storage of `take`, kept to save allocations.
   std::vector<server_candidate> Candidates;
-  std::optional<time_point> ListedAt;
+  bool Listed = false;
   std::optional<time_point> OutageEnd;
   store_revision Revision;
   bool NewFailure = false;
--- a/modules/bw_gateway_daemon/bw_gateway_daemon.h
+++ b/modules/bw_gateway_daemon/bw_gateway_daemon.h
@@ -10,9 +10,14 @@
 
 #include "bw_gateway_daemon/decide/gateway_decide_service.h"
 #include "bw_gateway_daemon/follow/configuration_follower.h"
+#include "bw_gateway_daemon/follow/host_follower.h"
 #include "bw_gateway_daemon/follow/platform_source.h"
+#include "bw_gateway_daemon/follow/platform_state.h"
 #include "bw_gateway_daemon/follow/server_follower.h"
 #include "bw_gateway_daemon/log/decision_log.h"
+#include "bw_gateway_daemon/peers/exchange_fetch_service.h"
+#include "bw_gateway_daemon/peers/exchange_pages.h"
+#include "bw_gateway_daemon/peers/peer_report_service.h"
 #include "bw_gateway_daemon/status/status_service.h"
 
 #endif
--- a/modules/bw_gateway_daemon/decide/gateway_decide_service.cpp
+++ b/modules/bw_gateway_daemon/decide/gateway_decide_service.cpp
@@ -3,12 +3,15 @@
 #include "bw_forward/service/forward_service.h"
 #include "bw_kernel/services/service_registry.h"
 
+#include <algorithm>
+
 using namespace bw;
 
 gateway_decide_service::gateway_decide_service(runtime_clock &Clock,
                                                gateway_decide_options Options)
     : gateway_event_sink(std::string(ServiceName)), Clock(Clock),
-      Engine(std::move(Options.Engine)),
+      ReportInterval(Options.ReportInterval),
+      UrgentInterval(Options.UrgentInterval), Engine(std::move(Options.Engine)),
       // Events must not be lost: each frees a slot or answers a caller.
       Events(Clock, {.Capacity = Options.EventCapacity,
                      .Overflow = overflow_policy::Block}) {}
@@ -18,6 +21,9 @@
 void gateway_decide_service::attach(service_registry &Registry) {
   Commands =
       &Registry.find<forward_service>(forward_service::ServiceName).commands();
+  Reports =
+      &Registry.find<peer_report_service>(peer_report_service::ServiceName)
+           .reports();
 }
 
 void gateway_decide_service::start() {
@@ -31,15 +37,33 @@
   Thread.join();
 }
 
+time_point gateway_decide_service::nextReport() const {
+  if (Engine.hasNewFailure())
+    return LastReport + UrgentInterval;
+  if (Engine.openRequests() > 0 || HasReportedLoad)
+    return LastReport + ReportInterval;
+  return time_point::max();
+}
+
+void gateway_decide_service::report(time_point Now) {
+  const bool IsUrgent = Engine.hasNewFailure();
+  HasReportedLoad = Engine.openRequests() > 0;
+  LastReport = Now;
+  Reports->push({.Servers = Engine.takeReport(), .IsUrgent = IsUrgent});
+}
+
 void gateway_decide_service::run() {
   gateway_engine::commands Out;
   while (!Events.isClosed()) {
-    std::optional<gateway_event> Event = Events.pop(Engine.nextDue());
+    std::optional<gateway_event> Event =
+        Events.pop(std::min(Engine.nextDue(), nextReport()));
     const time_point Now = Clock.now();
     // All that is there is decided before the forward duty is woken.
     for (; Event; Event = Events.tryPop())
       Engine.handle(*Event, Now, Out);
     Engine.tick(Now, Out);
+    if (nextReport() <= Now)
+      report(Now);
     Ready = Engine.isReady();
     OpenRequests = Engine.openRequests();
     Version = Engine.version().value();
--- a/modules/bw_gateway_daemon/decide/gateway_decide_service.h
+++ b/modules/bw_gateway_daemon/decide/gateway_decide_service.h
@@ -3,6 +3,7 @@
 
 #include "bw_forward/service/forward_rings.h"
 #include "bw_gateway/engine/gateway_engine.h"
+#include "bw_gateway_daemon/peers/peer_report_service.h"
 
 #include <atomic>
 #include <thread>
@@ -12,6 +13,10 @@
 struct gateway_decide_options {
   gateway_engine_options Engine;
   std::size_t EventCapacity = 8192;
+  /// Between two reports to other hosts while there are requests.
+  duration ReportInterval = std::chrono::milliseconds(250);
+  /// A failure is told after this time, together with others.
+  duration UrgentInterval = std::chrono::milliseconds(40);
 };
 
 /// Duty *decide*: owns the gateway engine. Events come in by a ring, commands
@@ -36,11 +41,20 @@
 
 private:
   void run();
+  time_point nextReport() const;
+  void report(time_point Now);
 
   runtime_clock &Clock;
+  duration ReportInterval;
+  duration UrgentInterval;
   gateway_engine Engine;
   gateway_event_ring Events;
   gateway_command_ring *Commands = nullptr;
+  own_report_ring *Reports = nullptr;
+  time_point LastReport{};
+  /// The last report named requests in flight, so others must hear of their
+  /// end.
+  bool HasReportedLoad = false;
   std::atomic<bool> Ready = false;
   std::atomic<std::size_t> OpenRequests = 0;
   std::atomic<std::uint64_t> Version = 0;
--- a/modules/bw_gateway_daemon/follow/configuration_follower.cpp
+++ b/modules/bw_gateway_daemon/follow/configuration_follower.cpp
@@ -11,13 +11,15 @@
       Thread(Clock, [this] { return round(); }) {}
 
 void configuration_follower::attach(service_registry &Registry) {
-  Decide = &Registry.find<gateway_event_sink>(gateway_event_sink::ServiceName)
-                .events();
+  State = &Registry.find<platform_state>(platform_state::ServiceName);
 }
 
 void configuration_follower::start() { Thread.start(); }
 
-void configuration_follower::stop() { Thread.stop(); }
+void configuration_follower::stop() {
+  Options.Source.Cancel();
+  Thread.stop();
+}
 
 duration configuration_follower::round() {
   configuration_watch Result =
@@ -31,11 +33,13 @@
              {{"duty", std::string(ServiceName)}});
   switch (Result.End) {
   case watch_end::Changed:
-  case watch_end::Unchanged:
     Watched = Result.Revision;
     if (Result.Configuration)
-      Decide->push(configuration_read{Result.Configuration});
+      State->offerConfiguration(Result.Configuration);
     return duration::zero();
+  case watch_end::Unchanged:
+    // The store may drop its history, and with it the news of a change, while
+    // a watch waits. Reading anew finds what no watch told.
   case watch_end::HistoryGone:
     Watched.reset();
     return duration::zero();
--- /dev/null
+++ b/modules/bw_gateway_daemon/follow/host_follower.cpp
@@ -0,0 +1,57 @@
+#include "bw_gateway_daemon/follow/host_follower.h"
+
+#include "bw_kernel/log/log_event.h"
+#include "bw_kernel/services/service_registry.h"
+
+using namespace bw;
+
+host_follower::host_follower(runtime_clock &Clock,
+                             host_follower_options GivenOptions)
+    : service(std::string(ServiceName)), Clock(Clock),
+      Options(std::move(GivenOptions)),
+      Thread(Clock, [this] { return round(); }) {}
+
+void host_follower::attach(service_registry &Registry) {
+  State = &Registry.find<platform_state>(platform_state::ServiceName);
+}
+
+void host_follower::start() { Thread.start(); }
+
+void host_follower::stop() {
+  Options.Source.Cancel();
+  Thread.stop();
+}
+
+duration host_follower::round() {
+  if (!IsAnnounced) {
+    if (!Options.Source.AnnounceHost(State->self()))
+      return Options.RetryPause;
+    IsAnnounced = true;
+    return Options.FirstPause;
+  }
+  const auto Hosts = Options.Source.ReadHosts(!IsFirstRead);
+  if (!Hosts)
+    return Options.RetryPause;
+  IsFirstRead = false;
+  bool IsListed = false;
+  for (const gateway_host &Each : *Hosts)
+    IsListed = IsListed || Each == State->self();
+  ReadsWithoutSelf = IsListed ? 0 : ReadsWithoutSelf + 1;
+  // One old reading proves nothing; later, others removed this host while it
+  // was silent.
+  if (ReadsWithoutSelf > 1)
+    IsAnnounced = false;
+  State->offerHosts(*Hosts);
+  removeGone();
+  return Options.Interval;
+}
+
+void host_follower::removeGone() {
+  const std::vector<host_id> Gone =
+      State->withHosts([&](host_directory &Hosts, random_source &) {
+        return Hosts.goneHosts(Clock.now());
+      });
+  for (const host_id &Each : Gone)
+    if (Options.Source.RemoveHost(Each))
+      logEvent(log_event::HostLeft, {{"host", Each.value()}});
+}
--- a/modules/bw_gateway_daemon/follow/platform_source.h
+++ b/modules/bw_gateway_daemon/follow/platform_source.h
@@ -1,6 +1,7 @@
 #ifndef BW_GATEWAY_DAEMON_FOLLOW_PLATFORM_SOURCE_H
 #define BW_GATEWAY_DAEMON_FOLLOW_PLATFORM_SOURCE_H
 
+#include "bw_gateway/hosts/gateway_host.h"
 #include "bw_gateway/messages/gateway_events.h"
 
 #include <chrono>
@@ -43,6 +44,19 @@
       WatchConfiguration = [](store_revision, std::chrono::milliseconds) {
         return configuration_watch{};
       };
+  /// Makes this host known, also when it already is. False: not done.
+  std::function<bool(const gateway_host &)> AnnounceHost =
+      [](const gateway_host &) { return false; };
+  /// Nothing when the store did not answer. The hosts of some seconds ago cost
+  /// less than those of now.
+  std::function<std::optional<std::vector<gateway_host>>(bool MayBeOld)>
+      ReadHosts = [](bool) { return std::nullopt; };
+  /// Removes a host that is gone. False: not done.
+  std::function<bool(const host_id &)> RemoveHost = [](const host_id &) {
+    return false;
+  };
+  /// Ends a call that waits, and lets later ones fail at once. Thread-safe.
+  std::function<void()> Cancel = [] {};
 };
 
 } // namespace bw
--- /dev/null
+++ b/modules/bw_gateway_daemon/follow/platform_state.cpp
@@ -0,0 +1,113 @@
+#include "bw_gateway_daemon/follow/platform_state.h"
+
+#include "bw_core/random/stable_hash.h"
+#include "bw_kernel/services/service_registry.h"
+
+#include <algorithm>
+
+using namespace bw;
+
+namespace {
+
+// Only what decides where work may go: how long a server stays cold changes
+// with each of its reports.
+list_digest digestOf(const std::vector<listed_server> &Servers) {
+  std::uint64_t Result = 0;
+  for (const listed_server &Each : Servers) {
+    std::uint64_t Hash = stableHash(Each.Server.value());
+    Hash = mixHash(Hash, stableHash(Each.Service.value()));
+    Hash = mixHash(Hash, stableHash(Each.DataCentre.value()));
+    Hash = mixHash(Hash, stableHash(Each.Address.value()));
+    Hash = mixHash(Hash, Each.Slots.value());
+    Hash = mixHash(Hash, Each.Leaving ? 1 : 0);
+    Hash = mixHash(Hash, Each.Start.value());
+    // The order of the list has no meaning.
+    Result += Hash;
+  }
+  return list_digest(Result);
+}
+
+} // namespace
+
+platform_state::platform_state(runtime_clock &Clock,
+                               platform_state_options GivenOptions)
+    : service(std::string(ServiceName)), Clock(Clock),
+      Options(std::move(GivenOptions)), Random(Options.Seed),
+      Directory(
+          {.Self = Options.Self.Host, .DataCentre = Options.Self.DataCentre}) {}
+
+void platform_state::attach(service_registry &Registry) {
+  Decide = &Registry.find<gateway_event_sink>(gateway_event_sink::ServiceName)
+                .events();
+}
+
+void platform_state::offerServers(servers_listed Offered, duration Age) {
+  const std::lock_guard Guard(Mutex);
+  const time_point Now = Clock.now();
+  const time_point ReadAt = Now - Age;
+  if (Servers && Offered.Revision < Servers->Revision)
+    return;
+  if (Servers) {
+    Directory.ownState(ownStateLocked(), Now);
+    Offered.IsAfterOutage =
+        ReadAt - Directory.listConfirmedAt(Now) > Options.OutageAfter;
+  }
+  Digest = digestOf(Offered.Servers);
+  ServersReadAt = ServersReadAt ? std::max(*ServersReadAt, ReadAt) : ReadAt;
+  Servers = std::make_shared<const servers_listed>(std::move(Offered));
+  // Also when nothing has changed: the age of the list matters.
+  Decide->push(servers_listed(*Servers));
+}
+
+void platform_state::offerConfiguration(
+    std::shared_ptr<const gateway_configuration> Offered) {
+  const std::lock_guard Guard(Mutex);
+  if (!Offered || (Configuration && Offered->Version <= Configuration->Version))
+    return;
+  Configuration = std::move(Offered);
+  Decide->push(configuration_read{Configuration});
+}
+
+void platform_state::offerHosts(const std::vector<gateway_host> &Offered) {
+  const std::lock_guard Guard(Mutex);
+  if (Offered == Hosts)
+    return;
+  Hosts = Offered;
+  Directory.listed(Hosts, Clock.now());
+  Decide->push(hosts_counted{
+      .Hosts = static_cast<std::uint32_t>(Directory.listedHosts() + 1)});
+}
+
+void platform_state::heard(const host_id &Host, const host_state &State) {
+  const std::lock_guard Guard(Mutex);
+  Directory.heard(Host, State, Clock.now());
+}
+
+host_state platform_state::ownStateLocked() const {
+  return {.Version = Configuration ? Configuration->Version : config_version(),
+          .ListRevision = Servers ? Servers->Revision : store_revision(),
+          .ListDigest = Digest,
+          .ListAge =
+              ServersReadAt ? Clock.now() - *ServersReadAt : duration::max()};
+}
+
+host_state platform_state::ownState() const {
+  const std::lock_guard Guard(Mutex);
+  return ownStateLocked();
+}
+
+std::shared_ptr<const servers_listed> platform_state::servers() const {
+  const std::lock_guard Guard(Mutex);
+  return Servers;
+}
+
+std::shared_ptr<const gateway_configuration>
+platform_state::configuration() const {
+  const std::lock_guard Guard(Mutex);
+  return Configuration;
+}
+
+std::vector<gateway_host> platform_state::hosts() const {
+  const std::lock_guard Guard(Mutex);
+  return Hosts;
+}
--- /dev/null
+++ b/modules/bw_gateway_daemon/follow/platform_state.h
@@ -0,0 +1,75 @@
+#ifndef BW_GATEWAY_DAEMON_FOLLOW_PLATFORM_STATE_H
+#define BW_GATEWAY_DAEMON_FOLLOW_PLATFORM_STATE_H
+
+#include "bw_forward/service/forward_rings.h"
+#include "bw_gateway/hosts/host_directory.h"
+#include "bw_gateway_daemon/follow/platform_source.h"
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace bw {
+
+struct platform_state_options {
+  /// This host, as others reach it.
+  gateway_host Self;
+  /// Without a list for this long, entries may have lapsed that come back.
+  duration OutageAfter = std::chrono::milliseconds(2500);
+  std::uint64_t Seed = 1;
+};
+
+/// What this host knows of the platform and of the other hosts, from the store
+/// or from others. All followers hand in what they read here; what is new goes
+/// on to the decide duty. Thread-safe; has no thread of its own.
+class platform_state : public service {
+public:
+  static constexpr std::string_view ServiceName = "platform_state";
+
+  platform_state(runtime_clock &Clock, platform_state_options Options);
+
+  void attach(service_registry &Registry) override;
+  void start() override {}
+  void stop() override {}
+
+  /// Age: since the store was read, if another host did it.
+  void offerServers(servers_listed Servers, duration Age = duration::zero());
+  void offerConfiguration(
+      std::shared_ptr<const gateway_configuration> Configuration);
+  void offerHosts(const std::vector<gateway_host> &Hosts);
+  void heard(const host_id &Host, const host_state &State);
+
+  const gateway_host &self() const { return Options.Self; }
+  host_state ownState() const;
+  /// Null or empty before anything was read.
+  std::shared_ptr<const servers_listed> servers() const;
+  std::shared_ptr<const gateway_configuration> configuration() const;
+  std::vector<gateway_host> hosts() const;
+
+  /// Calls the hook with the directory of hosts, under the lock.
+  template <typename Hook> auto withHosts(const Hook &Use) {
+    const std::lock_guard Guard(Mutex);
+    Directory.ownState(ownStateLocked(), Clock.now());
+    return Use(Directory, Random);
+  }
+
+private:
+  host_state ownStateLocked() const;
+
+  runtime_clock &Clock;
+  platform_state_options Options;
+  gateway_event_ring *Decide = nullptr;
+  mutable std::mutex Mutex;
+  random_source Random;
+  host_directory Directory;
+  std::vector<gateway_host> Hosts;
+  std::shared_ptr<const servers_listed> Servers;
+  list_digest Digest;
+  std::optional<time_point> ServersReadAt;
+  std::shared_ptr<const gateway_configuration> Configuration;
+};
+
+} // namespace bw
+
+#endif
--- a/modules/bw_gateway_daemon/follow/server_follower.h
+++ b/modules/bw_gateway_daemon/follow/server_follower.h
@@ -1,22 +1,22 @@
 #ifndef BW_GATEWAY_DAEMON_FOLLOW_SERVER_FOLLOWER_H
 #define BW_GATEWAY_DAEMON_FOLLOW_SERVER_FOLLOWER_H
 
-#include "bw_forward/service/forward_rings.h"
 #include "bw_gateway_daemon/follow/follower_thread.h"
 #include "bw_gateway_daemon/follow/platform_source.h"
+#include "bw_gateway_daemon/follow/platform_state.h"
 
 namespace bw {
 
 struct server_follower_options {
   platform_source Source;
-  /// Between two readings of the list. A server that leaves must be known to
-  /// all hosts within the platform's bound.
-  duration Interval = std::chrono::milliseconds(800);
+  /// Pause after a call that was not answered.
   duration RetryPause = std::chrono::milliseconds(250);
+  /// A list that another host has read may turn up within this time.
+  duration ShortestPause = std::chrono::milliseconds(50);
 };
 
-/// Duty *servers*: reads the platform's list of backend servers again and
-/// again, and hands it to the decide duty when it has changed.
+/// Duty *servers*: reads the platform's list of backend servers when it is this
+/// host's turn, or when no other host seems to have a recent one.
 class server_follower : public service {
 public:
   static constexpr std::string_view ServiceName = "servers";
@@ -29,9 +29,11 @@
 
 private:
   duration round();
+  duration untilNextRead();
 
+  runtime_clock &Clock;
   server_follower_options Options;
-  gateway_event_ring *Decide = nullptr;
+  platform_state *State = nullptr;
   bool IsAvailable = true;
   follower_thread Thread;
 };
--- /dev/null
+++ b/modules/bw_gateway_daemon/peers/exchange_fetch_service.cpp
@@ -0,0 +1,116 @@
+#include "bw_gateway_daemon/peers/exchange_fetch_service.h"
+
+#include "bw_gateway_daemon/peers/exchange_messages.h"
+#include "bw_kernel/log/log_event.h"
+#include "bw_kernel/services/service_registry.h"
+
+using namespace bw;
+
+std::string bw::exchangePath(exchange_item Item) {
+  switch (Item) {
+  case exchange_item::Servers:
+    return "/exchange/servers";
+  case exchange_item::Configuration:
+    return "/exchange/configuration";
+  case exchange_item::Hosts:
+    return "/exchange/hosts";
+  }
+  return "/";
+}
+
+exchange_fetch_service::exchange_fetch_service(
+    runtime_clock &Clock, exchange_fetch_options GivenOptions)
+    : service(std::string(ServiceName)), Clock(Clock),
+      Options(std::move(GivenOptions)),
+      // A refused order is given again with the next report.
+      Orders(Clock, {.Capacity = 16, .Overflow = overflow_policy::Refuse}) {}
+
+exchange_fetch_service::~exchange_fetch_service() { stop(); }
+
+void exchange_fetch_service::attach(service_registry &Registry) {
+  State = &Registry.find<platform_state>(platform_state::ServiceName);
+}
+
+void exchange_fetch_service::start() {
+  Thread = std::thread([this] { run(); });
+}
+
+void exchange_fetch_service::stop() {
+  if (!Thread.joinable())
+    return;
+  Session.cancel();
+  Orders.close();
+  Thread.join();
+}
+
+void exchange_fetch_service::order(exchange_order Order) {
+  std::atomic<bool> &IsOpen = IsOrdered[std::size_t(Order.Wanted)];
+  if (!IsOpen.exchange(true) && !Orders.push(std::move(Order)))
+    IsOpen = false;
+}
+
+// Knows too little to serve, and nobody who could tell.
+bool exchange_fetch_service::isPoor() const {
+  return State->hosts().empty() || !State->configuration() || !State->servers();
+}
+
+void exchange_fetch_service::run() {
+  while (!Orders.isClosed()) {
+    const bool AsksSeeds = !Options.Seeds.empty() && isPoor();
+    const auto Order = Orders.pop(AsksSeeds ? Clock.now() + Options.SeedInterval
+                                            : time_point::max());
+    if (Order) {
+      fetch(*Order);
+      IsOrdered[std::size_t(Order->Wanted)] = false;
+    } else if (AsksSeeds && isPoor() && !Orders.isClosed()) {
+      askSeeds();
+    }
+  }
+}
+
+void exchange_fetch_service::askSeeds() {
+  const gateway_host &Seed = Options.Seeds[NextSeed++ % Options.Seeds.size()];
+  if (!fetch({.Wanted = exchange_item::Configuration, .From = Seed}))
+    return;
+  fetch({.Wanted = exchange_item::Servers, .From = Seed});
+  if (State->hosts().empty())
+    fetch({.Wanted = exchange_item::Hosts, .From = Seed});
+}
+
+bool exchange_fetch_service::fetch(const exchange_order &Order) {
+  const call_result Result =
+      Session.call({.Method = "GET",
+                    .Url = "http://" + Order.From.Ip + ":" +
+                           std::to_string(Order.From.ExchangePort) +
+                           exchangePath(Order.Wanted),
+                    .ConnectTimeout = Options.ConnectTimeout,
+                    .Timeout = Options.Timeout});
+  constexpr int Ok = 200;
+  if (Result.Transfer.Status != transfer_status::Complete ||
+      Result.Response.Status != Ok)
+    return false;
+  try {
+    const std::string &Body = Result.Response.Body;
+    switch (Order.Wanted) {
+    case exchange_item::Servers: {
+      const auto Age = Result.Response.Headers.find("Age-Ms");
+      State->offerServers(
+          decodeServers(Body),
+          std::chrono::milliseconds(
+              Age ? std::strtoll(Age->c_str(), nullptr, 10) : 0));
+      break;
+    }
+    case exchange_item::Configuration:
+      State->offerConfiguration(decodeConfiguration(Body));
+      break;
+    case exchange_item::Hosts:
+      State->offerHosts(decodeHosts(Body));
+      break;
+    }
+    return true;
+  } catch (const exchange_error &Failure) {
+    logEvent(log_event::InputMalformed,
+             {{"from", Order.From.Ip}, {"reason", Failure.what()}});
+    return false;
+  }
+}
--- /dev/null
+++ b/modules/bw_gateway_daemon/peers/exchange_fetch_service.h
@@ -0,0 +1,69 @@
+#ifndef BW_GATEWAY_DAEMON_PEERS_EXCHANGE_FETCH_SERVICE_H
+#define BW_GATEWAY_DAEMON_PEERS_EXCHANGE_FETCH_SERVICE_H
+
+#include "bw_gateway_daemon/follow/platform_state.h"
+#include "bw_http/client/http_call_session.h"
+#include "bw_kernel/rings/bounded_ring.h"
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <thread>
+
+namespace bw {
+
+enum class exchange_item : std::uint8_t { Servers, Configuration, Hosts };
+
+/// Path of the page that hands it out to other hosts.
+std::string exchangePath(exchange_item Item);
+
+struct exchange_order {
+  exchange_item Wanted = exchange_item::Servers;
+  gateway_host From;
+};
+
+struct exchange_fetch_options {
+  std::chrono::milliseconds ConnectTimeout{150};
+  std::chrono::milliseconds Timeout{400};
+  /// Hosts to ask while no other host is known, such as after a start with the
+  /// store away. Only their address and exchange port count.
+  std::vector<gateway_host> Seeds;
+  /// Between two tries to learn from the seeds.
+  duration SeedInterval = std::chrono::milliseconds(500);
+};
+
+/// Duty *fetch*: asks other hosts for their configuration and server list.
+class exchange_fetch_service : public service {
+public:
+  static constexpr std::string_view ServiceName = "fetch";
+
+  exchange_fetch_service(runtime_clock &Clock, exchange_fetch_options Options);
+  ~exchange_fetch_service() override;
+
+  void attach(service_registry &Registry) override;
+  void start() override;
+  void stop() override;
+
+  /// Does nothing while an order for the same is being carried out.
+  /// Thread-safe.
+  void order(exchange_order Order);
+
+private:
+  void run();
+  bool fetch(const exchange_order &Order);
+  void askSeeds();
+  bool isPoor() const;
+
+  runtime_clock &Clock;
+  exchange_fetch_options Options;
+  platform_state *State = nullptr;
+  bounded_ring<exchange_order> Orders;
+  std::array<std::atomic<bool>, 3> IsOrdered{};
+  std::size_t NextSeed = 0;
+  http_call_session Session;
+  std::thread Thread;
+};
+
+} // namespace bw
+
+#endif
--- /dev/null
+++ b/modules/bw_gateway_daemon/peers/exchange_messages.cpp
@@ -0,0 +1,212 @@
+#include "bw_gateway_daemon/peers/exchange_messages.h"
+
+#include "bw_gateway_daemon/peers/exchange.pb.h"
+
+#include <algorithm>
+#include <limits>
+
+using namespace bw;
+
+namespace {
+
+// Older lists are all the same to a host.
+constexpr std::chrono::milliseconds LongestAge = std::chrono::hours(24);
+
+template <typename Message> Message parse(std::string_view Bytes) {
+  Message Result;
+  if (!Result.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
+    throw exchange_error("cannot be parsed");
+  return Result;
+}
+
+std::uint64_t microseconds(duration Time) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(Time).count());
+}
+
+std::optional<duration> optionalTime(std::uint64_t Microseconds) {
+  if (Microseconds == 0)
+    return std::nullopt;
+  return std::chrono::microseconds(Microseconds);
+}
+
+exchange::route_record encodeRoute(const gateway_route &Route) {
+  exchange::route_record Result;
+  Result.set_id(Route.Id.value());
+  Result.set_virtual_host(Route.VirtualHost);
+  Result.set_prefix(Route.Prefix);
+  for (const route_destination &Each : Route.Destinations) {
+    auto *Destination = Result.add_destinations();
+    Destination->set_service(Each.Service.value());
+    Destination->set_weight(Each.Weight);
+  }
+  Result.set_repeatable(Route.Execution == execution_rule::Repeatable);
+  Result.set_timeout(microseconds(Route.Timeout.value_or(duration::zero())));
+  Result.set_target_latency(
+      microseconds(Route.TargetLatency.value_or(duration::zero())));
+  Result.set_max_attempts(Route.MaxAttempts);
+  Result.set_priority(Route.Priority);
+  return Result;
+}
+
+gateway_route decodeRoute(const exchange::route_record &Route) {
+  gateway_route Result{.Id = route_id(Route.id()),
+                       .VirtualHost = Route.virtual_host(),
+                       .Prefix = Route.prefix(),
+                       .Destinations = {},
+                       .Execution = Route.repeatable()
+                                        ? execution_rule::Repeatable
+                                        : execution_rule::AtMostOnce,
+                       .Timeout = optionalTime(Route.timeout()),
+                       .TargetLatency = optionalTime(Route.target_latency()),
+                       .MaxAttempts = Route.max_attempts(),
+                       .Priority = Route.priority()};
+  for (const auto &Each : Route.destinations())
+    Result.Destinations.push_back(
+        {.Service = service_id(Each.service()), .Weight = Each.weight()});
+  if (Result.Destinations.empty())
+    throw exchange_error("a route without destination");
+  return Result;
+}
+
+} // namespace
+
+std::string bw::encodeReport(const host_report &Report) {
+  exchange::host_report Result;
+  Result.set_host(Report.Observations.Host.value());
+  Result.set_configuration_version(Report.State.Version.value());
+  Result.set_list_revision(Report.State.ListRevision.value());
+  Result.set_list_digest(Report.State.ListDigest.value());
+  Result.set_list_age(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          Report.State.ListAge)
+          .count()));
+  Result.set_has_load(Report.Observations.HasLoad);
+  for (const server_report &Each : Report.Observations.Servers) {
+    auto *Server = Result.add_servers();
+    Server->set_server(Each.Server.value());
+    Server->set_good(Each.Good);
+    Server->set_bad(Each.Bad);
+    Server->set_in_flight(Each.InFlight);
+  }
+  return Result.SerializeAsString();
+}
+
+host_report bw::decodeReport(std::string_view Bytes) {
+  const auto Report = parse<exchange::host_report>(Bytes);
+  host_report Result{
+      .Observations = {.Host = host_id(Report.host()),
+                       .HasLoad = Report.has_load(),
+                       .Servers = {}},
+      .State = {.Version = config_version(Report.configuration_version()),
+                .ListRevision = store_revision(Report.list_revision()),
+                .ListDigest = list_digest(Report.list_digest()),
+                .ListAge = std::chrono::milliseconds(std::min<std::uint64_t>(
+                    Report.list_age(), LongestAge.count()))}};
+  // Numbers that no host can have seen would poison the filters for good.
+  constexpr float MostOutcomes = 1000;
+  for (const auto &Each : Report.servers()) {
+    if (!(Each.good() >= 0 && Each.good() <= MostOutcomes && Each.bad() >= 0 &&
+          Each.bad() <= MostOutcomes))
+      throw exchange_error("impossible number of outcomes");
+    Result.Observations.Servers.push_back(
+        {.Server = backend_server_id(Each.server()),
+         .Good = Each.good(),
+         .Bad = Each.bad(),
+         .InFlight = static_cast<std::uint16_t>(std::min<std::uint32_t>(
+             Each.in_flight(), std::numeric_limits<std::uint16_t>::max()))});
+  }
+  return Result;
+}
+
+std::string bw::encodeServers(const servers_listed &Servers) {
+  exchange::server_list Result;
+  Result.set_revision(Servers.Revision.value());
+  for (const listed_server &Each : Servers.Servers) {
+    auto *Server = Result.add_servers();
+    Server->set_server(Each.Server.value());
+    Server->set_service(Each.Service.value());
+    Server->set_data_centre(Each.DataCentre.value());
+    Server->set_address(Each.Address.value());
+    Server->set_slots(Each.Slots.value());
+    Server->set_leaving(Each.Leaving);
+    Server->set_start(Each.Start.value());
+    Server->set_cold_milliseconds(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            Each.ColdRemaining)
+            .count()));
+  }
+  return Result.SerializeAsString();
+}
+
+servers_listed bw::decodeServers(std::string_view Bytes) {
+  const auto List = parse<exchange::server_list>(Bytes);
+  servers_listed Result{.Revision = store_revision(List.revision()),
+                        .Servers = {}};
+  for (const auto &Each : List.servers())
+    Result.Servers.push_back(
+        {.Server = backend_server_id(Each.server()),
+         .Service = service_id(Each.service()),
+         .DataCentre = data_centre_id(Each.data_centre()),
+         .Address = server_address(Each.address()),
+         .Slots = slot_count(Each.slots()),
+         .Leaving = Each.leaving(),
+         .Start = server_start(Each.start()),
+         .ColdRemaining = std::chrono::milliseconds(Each.cold_milliseconds())});
+  return Result;
+}
+
+std::string
+bw::encodeConfiguration(const gateway_configuration &Configuration) {
+  exchange::configuration_record Result;
+  const caller_limits &Limits = Configuration.Limits;
+  Result.set_version(Configuration.Version.value());
+  Result.set_header_bytes(Limits.Header.value());
+  Result.set_body_bytes(Limits.Body.value());
+  Result.set_header_timeout(microseconds(Limits.HeaderTimeout));
+  Result.set_idle_timeout(microseconds(Limits.IdleTimeout));
+  for (const gateway_route &Each : Configuration.Routes)
+    *Result.add_routes() = encodeRoute(Each);
+  return Result.SerializeAsString();
+}
+
+std::shared_ptr<const gateway_configuration>
+bw::decodeConfiguration(std::string_view Bytes) {
+  const auto Record = parse<exchange::configuration_record>(Bytes);
+  auto Result = std::make_shared<gateway_configuration>();
+  Result->Version = config_version(Record.version());
+  Result->Limits = {
+      .Header = byte_count(Record.header_bytes()),
+      .Body = byte_count(Record.body_bytes()),
+      .HeaderTimeout = std::chrono::microseconds(Record.header_timeout()),
+      .IdleTimeout = std::chrono::microseconds(Record.idle_timeout())};
+  for (const auto &Each : Record.routes())
+    Result->Routes.push_back(decodeRoute(Each));
+  return Result;
+}
+
+std::string bw::encodeHosts(const std::vector<gateway_host> &Hosts) {
+  exchange::host_list Result;
+  for (const gateway_host &Each : Hosts) {
+    auto *Host = Result.add_hosts();
+    Host->set_host(Each.Host.value());
+    Host->set_data_centre(Each.DataCentre.value());
+    Host->set_ip(Each.Ip);
+    Host->set_report_port(Each.ReportPort);
+    Host->set_exchange_port(Each.ExchangePort);
+  }
+  return Result.SerializeAsString();
+}
+
+std::vector<gateway_host> bw::decodeHosts(std::string_view Bytes) {
+  const auto List = parse<exchange::host_list>(Bytes);
+  std::vector<gateway_host> Result;
+  for (const auto &Each : List.hosts())
+    Result.push_back(
+        {.Host = host_id(Each.host()),
+         .DataCentre = data_centre_id(Each.data_centre()),
+         .Ip = Each.ip(),
+         .ReportPort = static_cast<std::uint16_t>(Each.report_port()),
+         .ExchangePort = static_cast<std::uint16_t>(Each.exchange_port())});
+  return Result;
+}
--- /dev/null
+++ b/modules/bw_gateway_daemon/peers/exchange_messages.h
@@ -0,0 +1,45 @@
+#ifndef BW_GATEWAY_DAEMON_PEERS_EXCHANGE_MESSAGES_H
+#define BW_GATEWAY_DAEMON_PEERS_EXCHANGE_MESSAGES_H
+
+#include "bw_core/errors/error.h"
+#include "bw_gateway/hosts/host_directory.h"
+#include "bw_gateway/messages/gateway_events.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bw {
+
+/// Bytes of another host that are not a message of this exchange.
+class exchange_error : public error {
+public:
+  explicit exchange_error(const std::string &Reason)
+      : error("message of another host: " + Reason) {}
+  std::string_view code() const override { return "exchange_invalid"; }
+};
+
+/// What a host tells the others several times a second.
+struct host_report {
+  peer_reported Observations;
+  host_state State;
+};
+
+std::string encodeReport(const host_report &Report);
+/// \throws exchange_error, as all decoders
+host_report decodeReport(std::string_view Bytes);
+
+std::string encodeServers(const servers_listed &Servers);
+servers_listed decodeServers(std::string_view Bytes);
+
+std::string encodeConfiguration(const gateway_configuration &Configuration);
+std::shared_ptr<const gateway_configuration>
+decodeConfiguration(std::string_view Bytes);
+
+std::string encodeHosts(const std::vector<gateway_host> &Hosts);
+std::vector<gateway_host> decodeHosts(std::string_view Bytes);
+
+} // namespace bw
+
+#endif
--- a/modules/bw_http/client/http_call_session.h
+++ b/modules/bw_http/client/http_call_session.h
@@ -8,8 +8,8 @@
 namespace bw {
 
 /// As `callHttp`, but keeps connections from one call to the next. For one
-/// thread. A request on a kept connection that died is sent again by libcurl,
-/// so it must not be used for what may happen only once.
+/// thread but for `cancel`. A request on a kept connection that died is sent
+/// again by libcurl, so it must not be used for what may happen only once.
 class http_call_session {
 public:
   http_call_session();
@@ -19,6 +19,9 @@
 
   call_result call(client_request Request);
 
+  /// Ends the present call, if any, and lets all later ones fail. Thread-safe.
+  void cancel();
+
 private:
   struct implementation;
   std::unique_ptr<implementation> Implementation;
