Let a configuration watch go on from the revision of the last read

Cause: while the store drops its history a watch hears nothing of a change and ends with the new revision; going on from there loses the change for good. Change: the next watch begins at the revision of the last read, and watches end at random times, so that the first host that finds the change tells the others.

--- a/modules/bw_gateway_daemon/follow/configuration_follower.cpp
+++ b/modules/bw_gateway_daemon/follow/configuration_follower.cpp
@@ -8,7 +8,7 @@
 configuration_follower::configuration_follower(
     runtime_clock &Clock, configuration_follower_options GivenOptions)
     : service(std::string(ServiceName)), Options(std::move(GivenOptions)),
-      Thread(Clock, [this] { return round(); }) {}
+      Random(Options.Seed), Thread(Clock, [this] { return round(); }) {}
 
 void configuration_follower::attach(service_registry &Registry) {
   State = &Registry.find<platform_state>(platform_state::ServiceName);
@@ -21,9 +21,16 @@
   Thread.stop();
 }
 
+std::chrono::milliseconds configuration_follower::watchTime() {
+  const auto Span = static_cast<std::uint64_t>(
+      (Options.LongestWatch - Options.ShortestWatch).count());
+  return Options.ShortestWatch +
+         std::chrono::milliseconds(Random.below(Span + 1));
+}
+
 duration configuration_follower::round() {
   configuration_watch Result =
-      Watched ? Options.Source.WatchConfiguration(*Watched, Options.WatchTime)
+      Watched ? Options.Source.WatchConfiguration(*Watched, watchTime())
               : Options.Source.ReadConfiguration();
   const bool WasAvailable = IsAvailable;
   IsAvailable = Result.End != watch_end::Unavailable;
@@ -38,8 +45,10 @@
       State->offerConfiguration(Result.Configuration);
     return duration::zero();
   case watch_end::Unchanged:
-    // The store may drop its history, and with it the news of a change, while
-    // a watch waits. Reading anew finds what no watch told.
+    // The next watch begins at the same revision: a change that the store kept
+    // from this one, as it may while it drops its history, is then told at
+    // once, or the history is found to be gone.
+    return duration::zero();
   case watch_end::HistoryGone:
     Watched.reset();
     return duration::zero();
--- a/modules/bw_gateway_daemon/follow/configuration_follower.h
+++ b/modules/bw_gateway_daemon/follow/configuration_follower.h
@@ -1,6 +1,7 @@
 #ifndef BW_GATEWAY_DAEMON_FOLLOW_CONFIGURATION_FOLLOWER_H
 #define BW_GATEWAY_DAEMON_FOLLOW_CONFIGURATION_FOLLOWER_H
 
+#include "bw_core/random/random_source.h"
 #include "bw_gateway_daemon/follow/follower_thread.h"
 #include "bw_gateway_daemon/follow/platform_source.h"
 #include "bw_gateway_daemon/follow/platform_state.h"
@@ -9,10 +10,12 @@
 
 struct configuration_follower_options {
   platform_source Source;
-  /// Longest wait of one watch, after which the configuration is read anew.
-  /// Of the two sites' 32 hosts, one then reads twice a second, and tells the
-  /// others what it finds.
-  std::chrono::milliseconds WatchTime{15'000};
+  /// A watch waits for a random time between these. Hosts then begin new
+  /// watches at different times, and the first that does so after a change that
+  /// no watch told finds it and tells the others.
+  std::chrono::milliseconds ShortestWatch{4'000};
+  std::chrono::milliseconds LongestWatch{15'000};
+  std::uint64_t Seed = 1;
   /// Pause after a call that was not answered.
   duration RetryPause = std::chrono::milliseconds(250);
 };
@@ -32,8 +35,10 @@
 
 private:
   duration round();
+  std::chrono::milliseconds watchTime();
 
   configuration_follower_options Options;
+  random_source Random;
   platform_state *State = nullptr;
   /// Set while the watch can go on from there.
   std::optional<store_revision> Watched;
