Spend the retry budget on retries, read long lists by their changes

Cause: hedges took tokens that retries needed and a quarter of the budget was never used; a list of 177 to 345 servers takes four to seven calls to read; a slow server was blamed late and to this host alone.

--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -14,7 +14,7 @@
 constexpr duration LeastTimeLeft = std::chrono::milliseconds(20);
 // An answer that takes this many times the usual latency of its route counts
 // against its server.
-constexpr double SlowFactor = 4;
+constexpr double SlowFactor = 3;
 // Answers of a route before its own mean is trusted.
 constexpr std::uint32_t LeastSamples = 8;
 // Weight of the newest answer in the mean latency of a route.
@@ -25,9 +25,12 @@
 // Servers that cannot be connected to are passed over without spending an
 // attempt, up to this many for one request.
 constexpr std::uint32_t MostConnectFailures = 3;
-// Part of the fleet's retry budget that the hosts spend: requests are counted
-// where they arrive, and hosts that die take their counts with them.
-constexpr double BudgetShare = 0.75;
+// Part of the fleet's retry budget that the hosts spend; the rest covers what
+// is counted differently at the edges of a window.
+constexpr double BudgetShare = 0.95;
+// A hedge is a guess, a retry is not: hedges leave this part of the saved
+// tokens to retries.
+constexpr double HedgeReserve = 0.5;
 // Refused callers return within this span, spread evenly so that they do not
 // all come back at once.
 constexpr duration ShortestReturn = std::chrono::milliseconds(300);
@@ -383,8 +386,7 @@
   if (Entry.Kind == due_kind::Slow)
     return judgeSlow(Request, *Open, Now);
   if (Request.IsReplayable && Request.Open.size() == 1 &&
-      Request.Attempts < Request.Route->MaxAttempts &&
-      budgetOf(Request.Service).tryTake())
+      Request.Attempts < Request.Route->MaxAttempts && takeHedgeToken(Request))
     startAttempt(Entry.Request, Request, request_step::Hedged, Now, Out);
 }
 
@@ -393,7 +395,7 @@
   if (Attempt.IsSlow || Now - Attempt.Started < slowAfter(*Request.Route))
     return;
   Attempt.IsSlow = true;
-  Pool.addPathFailure(Attempt.Server, Now);
+  Pool.addSlowness(Attempt.Server, Now);
 }
 
 void gateway_engine::recordLatency(const request_state &Request,
@@ -421,15 +423,26 @@
   return std::chrono::duration_cast<duration>(Target * HedgeShareOfTarget);
 }
 
+double gateway_engine::budgetCapacity() const {
+  return std::max(1.0, BudgetShare * Options.RetrySlack / Hosts);
+}
+
+bool gateway_engine::takeHedgeToken(const request_state &Request) {
+  retry_budget &Budget = budgetOf(Request.Service);
+  return Budget.tokens() >= 1 + HedgeReserve * (budgetCapacity() - 1) &&
+         Budget.tryTake();
+}
+
 retry_budget &gateway_engine::budgetOf(const service_id &Service) {
   return Budgets
       .try_emplace(Service,
                    retry_budget_options{
                        .TokensPerRequest =
                            ratio(Options.RetryRatio.value() * BudgetShare),
-                       .Capacity = std::max(
-                           1.0, BudgetShare * Options.RetrySlack / Hosts),
-                       .InitialTokens = 1,
+                       .Capacity = budgetCapacity(),
+                       // Hosts that restart together must not get together
+                       // what they have already spent.
+                       .InitialTokens = 0,
                        .KeptAfterFailure = 1})
       .first->second;
 }
@@ -472,8 +485,8 @@
   if (Event.Hosts == 0 || Event.Hosts == Hosts)
     return;
   Hosts = Event.Hosts;
-  // New budgets start with one token each, so a change of the number of hosts
-  // grants no burst.
+  // New budgets start empty, so a change of the number of hosts grants no
+  // burst.
   Budgets.clear();
 }
 
--- a/modules/bw_gateway/engine/gateway_engine.h
+++ b/modules/bw_gateway/engine/gateway_engine.h
@@ -154,6 +154,8 @@
   duration slowAfter(const gateway_route &Route) const;
   duration hedgeAfter(const gateway_route &Route) const;
   duration retryAfter();
+  double budgetCapacity() const;
+  bool takeHedgeToken(const request_state &Request);
   retry_budget &budgetOf(const service_id &Service);
   void report(const request_state &Request, request_decision Decision,
               time_point Now) const;
--- a/modules/bw_gateway/hosts/host_directory.h
+++ b/modules/bw_gateway/hosts/host_directory.h
@@ -25,9 +25,8 @@
   /// Hosts of a data centre that read the server list for all of it; two, so
   /// that the death of one leaves no gap.
   std::size_t ListReaders = 2;
-  /// Between two readings of a reader: a third of the platform's bound on
-  /// requests to leaving servers.
-  duration ReadInterval = std::chrono::milliseconds(650);
+  /// Between two readings of a reader.
+  duration ReadInterval = std::chrono::milliseconds(900);
   /// Others read too when the newest list they know of is older than this.
   duration ReadWhenOlder = std::chrono::milliseconds(1200);
   /// Spread of these readings, so that not all hosts read at once.
--- a/modules/bw_gateway/servers/server_pool.cpp
+++ b/modules/bw_gateway/servers/server_pool.cpp
@@ -18,6 +18,7 @@
 constexpr double WorseThanService = 1.3;
 // Weight, as a failure of the server, of one that may be the path's.
 constexpr double PathFailureWeight = 0.25;
+constexpr double SlownessWeight = 0.5;
 
 using change_kind = pool_change::kind;
 
@@ -202,19 +203,29 @@
   Entry.UnreportedBad += static_cast<float>(Bad);
 }
 
-void server_pool::addPathFailure(const backend_server_id &Server,
-                                 time_point Now) {
+// Others may fare better with the server, so it takes several hosts to convince
+// them; this host judges by its own experience.
+void server_pool::addDoubtful(const backend_server_id &Server,
+                              double SharedWeight, time_point Now) {
   const auto Found = Indexes.find(Server);
   if (Found == Indexes.end())
     return;
   entry &Entry = Entries[Found->second];
   Entry.Own.add(0, 1, Now);
-  // Others may reach the server; it takes several hosts to convince them.
-  Entry.Shared.add(0, PathFailureWeight, Now);
-  Entry.UnreportedBad += static_cast<float>(PathFailureWeight);
+  Entry.Shared.add(0, SharedWeight, Now);
+  Entry.UnreportedBad += static_cast<float>(SharedWeight);
   NewFailure = true;
 }
 
+void server_pool::addPathFailure(const backend_server_id &Server,
+                                 time_point Now) {
+  addDoubtful(Server, PathFailureWeight, Now);
+}
+
+void server_pool::addSlowness(const backend_server_id &Server, time_point Now) {
+  addDoubtful(Server, SlownessWeight, Now);
+}
+
 void server_pool::forget(peer_load &Load, load_counter Counter) {
   for (const auto &[Index, InFlight] : Load.InFlight)
     Entries[Index].*Counter -= InFlight;
--- a/modules/bw_gateway/servers/server_pool.h
+++ b/modules/bw_gateway/servers/server_pool.h
@@ -90,6 +90,8 @@
                    time_point Now);
   /// A failure that may be one of this host's own path to the server.
   void addPathFailure(const backend_server_id &Server, time_point Now);
+  /// A request takes much longer than usual.
+  void addSlowness(const backend_server_id &Server, time_point Now);
 
   /// A report of a host of the own data centre, or of failures from any host.
   void peerReported(const peer_reported &Report, time_point Now);
@@ -144,6 +146,8 @@
   void collectUsable(const service_id &Service,
                      std::span<const backend_server_id> Excluded,
                      bool IsLastChance, time_point Now);
+  void addDoubtful(const backend_server_id &Server, double SharedWeight,
+                   time_point Now);
   static double failureShare(const entry &Entry, time_point Now);
   void passOverFailing(std::size_t ServiceSize);
   void setEjected(entry &Entry, bool Ejected, double FailureShare);
--- a/modules/bw_gateway_daemon/follow/platform_source.h
+++ b/modules/bw_gateway_daemon/follow/platform_source.h
@@ -28,13 +28,35 @@
   std::shared_ptr<const gateway_configuration> Configuration;
 };
 
+/// A change of the list of servers.
+struct server_change_entry {
+  backend_server_id Server;
+  /// None: the server is gone, or its entry names none to use.
+  std::optional<listed_server> Now;
+};
+
+struct servers_watch {
+  watch_end End = watch_end::Unavailable;
+  store_revision Revision;
+  std::vector<server_change_entry> Changes;
+};
+
+/// A reading of the whole list, and the calls that it took.
+struct servers_reading {
+  servers_listed List;
+  std::uint32_t Calls = 1;
+};
+
 /// What the followers need of the platform's store, as hooks. All calls block
 /// for a bounded time. The defaults behave as a store that cannot be reached.
 struct platform_source {
   /// Nothing when the store did not answer.
-  std::function<std::optional<servers_listed>()> ReadServers = [] {
+  std::function<std::optional<servers_reading>()> ReadServers = [] {
     return std::nullopt;
   };
+  /// What has changed after the revision, without waiting.
+  std::function<servers_watch(store_revision)> ReadServerChanges =
+      [](store_revision) { return servers_watch{}; };
   /// The configuration as it is now.
   std::function<configuration_watch()> ReadConfiguration = [] {
     return configuration_watch{};
--- a/modules/bw_gateway_daemon/follow/platform_state.cpp
+++ b/modules/bw_gateway_daemon/follow/platform_state.cpp
@@ -27,14 +27,27 @@
   return list_digest(Result);
 }
 
+// Parts of the bound. When both readers of a data centre die with the news, it
+// takes 0.75 of the bound until another host reads; the rest is for the calls.
+constexpr double ReadIntervalShare = 0.45;
+constexpr double ReadWhenOlderShare = 0.6;
+constexpr double ReadSpreadShare = 0.15;
+
+duration part(duration Whole, double Share) {
+  return std::chrono::duration_cast<duration>(Whole * Share);
+}
+
 } // namespace
 
 platform_state::platform_state(runtime_clock &Clock,
                                platform_state_options GivenOptions)
     : service(std::string(ServiceName)), Clock(Clock),
       Options(std::move(GivenOptions)), Random(Options.Seed),
-      Directory(
-          {.Self = Options.Self.Host, .DataCentre = Options.Self.DataCentre}) {}
+      Directory({.Self = Options.Self.Host,
+                 .DataCentre = Options.Self.DataCentre,
+                 .ReadInterval = part(Options.DrainBound, ReadIntervalShare),
+                 .ReadWhenOlder = part(Options.DrainBound, ReadWhenOlderShare),
+                 .ReadSpread = part(Options.DrainBound, ReadSpreadShare)}) {}
 
 void platform_state::attach(service_registry &Registry) {
   Decide = &Registry.find<gateway_event_sink>(gateway_event_sink::ServiceName)
--- a/modules/bw_gateway_daemon/follow/platform_state.h
+++ b/modules/bw_gateway_daemon/follow/platform_state.h
@@ -17,6 +17,9 @@
   gateway_host Self;
   /// Without a list for this long, entries may have lapsed that come back.
   duration OutageAfter = std::chrono::milliseconds(2500);
+  /// The platform's bound on requests to a server after its leaving was
+  /// announced; how often the list is read follows from it.
+  duration DrainBound = std::chrono::seconds(2);
   std::uint64_t Seed = 1;
 };
 
--- a/modules/bw_gateway_daemon/follow/server_follower.cpp
+++ b/modules/bw_gateway_daemon/follow/server_follower.cpp
@@ -37,15 +37,53 @@
   const duration Wait = untilNextRead();
   if (Wait > Options.ShortestPause)
     return Wait;
-  std::optional<servers_listed> Reading = Options.Source.ReadServers();
   const bool WasAvailable = IsAvailable;
-  IsAvailable = Reading.has_value();
+  IsAvailable = read();
   if (IsAvailable != WasAvailable)
     logEvent(IsAvailable ? log_event::PlatformRestored
                          : log_event::PlatformUnavailable,
              {{"duty", std::string(ServiceName)}});
-  if (!Reading)
-    return Options.RetryPause;
-  State->offerServers(std::move(*Reading));
-  return untilNextRead();
+  return IsAvailable ? untilNextRead() : Options.RetryPause;
+}
+
+bool server_follower::read() {
+  const bool IsFullDue = !KnownRevision || CallsOfLastRead == 1 ||
+                         Clock.now() - LastFullRead >= Options.FullReadInterval;
+  if (!IsFullDue && readChanges())
+    return true;
+  return readAll();
+}
+
+bool server_follower::readAll() {
+  std::optional<servers_reading> Reading = Options.Source.ReadServers();
+  if (!Reading) {
+    KnownRevision.reset();
+    return false;
+  }
+  LastFullRead = Clock.now();
+  CallsOfLastRead = Reading->Calls;
+  KnownRevision = Reading->List.Revision;
+  Known.clear();
+  for (const listed_server &Each : Reading->List.Servers)
+    Known.emplace(Each.Server, Each);
+  State->offerServers(std::move(Reading->List));
+  return true;
+}
+
+bool server_follower::readChanges() {
+  servers_watch Changes = Options.Source.ReadServerChanges(*KnownRevision);
+  if (Changes.End != watch_end::Changed)
+    return false;
+  for (server_change_entry &Each : Changes.Changes) {
+    if (Each.Now)
+      Known.insert_or_assign(Each.Server, std::move(*Each.Now));
+    else
+      Known.erase(Each.Server);
+  }
+  KnownRevision = Changes.Revision;
+  servers_listed List{.Revision = Changes.Revision, .Servers = {}};
+  for (const auto &[Name, Server] : Known)
+    List.Servers.push_back(Server);
+  State->offerServers(std::move(List));
+  return true;
 }
