--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -494,8 +494,10 @@
 void gateway_engine::report(const request_state &Request,
                             request_decision Decision, time_point Now) const {
   Decision.Label = Request.Label;
-  if (Request.Route != nullptr)
+  if (Request.Route != nullptr) {
     Decision.Route = Request.Route->Id;
+    Decision.Execution = Request.Route->Execution;
+  }
   Decision.Service = Request.Service;
   Decision.Age = Now - Request.Arrived;
   Decision.Version =
--- a/modules/bw_gateway/engine/gateway_log.h
+++ b/modules/bw_gateway/engine/gateway_log.h
@@ -26,6 +26,7 @@
   request_step Step = request_step::Sent;
   request_label Label;
   route_id Route;
+  execution_rule Execution = execution_rule::AtMostOnce;
   service_id Service;
   backend_server_id Server;
   attempt_number Attempt;
--- /dev/null
+++ b/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
@@ -0,0 +1,186 @@
+#include "bw_gateway_daemon/metrics/gateway_metrics.h"
+
+using namespace bw;
+
+namespace {
+
+const std::string Requests = "bramleywinch_requests_total";
+const std::string Refusals = "bramleywinch_refusals_total";
+const std::string Attempts = "bramleywinch_attempts_total";
+const std::string FailedAttempts = "bramleywinch_failed_attempts_total";
+const std::string ServerChanges = "bramleywinch_server_changes_total";
+const std::string ConfigurationChanges =
+    "bramleywinch_configuration_changes_total";
+const std::string Duration = "bramleywinch_request_duration_seconds";
+
+constexpr int FirstServerError = 500;
+
+std::string outcomeLabel(attempt_outcome Outcome) {
+  switch (Outcome) {
+  case attempt_outcome::Answered:
+    return "answered";
+  case attempt_outcome::NotExecuted:
+    return "not_executed";
+  case attempt_outcome::NotSent:
+    return "not_sent";
+  case attempt_outcome::Broken:
+    return "broken";
+  }
+  return "";
+}
+
+std::string changeLabel(pool_change::kind Kind) {
+  switch (Kind) {
+  case pool_change::kind::Added:
+    return "added";
+  case pool_change::kind::Leaving:
+    return "leaving";
+  case pool_change::kind::Removed:
+    return "removed";
+  case pool_change::kind::Restarted:
+    return "restarted";
+  case pool_change::kind::Ejected:
+    return "ejected";
+  case pool_change::kind::Returned:
+    return "returned";
+  }
+  return "";
+}
+
+void countRequest(metric_registry &Metrics, const request_decision &Decision) {
+  const std::string &Service = Decision.Service.value();
+  switch (Decision.Step) {
+  case request_step::Sent:
+    return Metrics.count(Attempts, {{"service", Service}, {"cause", "first"}});
+  case request_step::Retried:
+    return Metrics.count(Attempts, {{"service", Service}, {"cause", "retry"}});
+  case request_step::Hedged:
+    return Metrics.count(Attempts, {{"service", Service}, {"cause", "hedge"}});
+  case request_step::Declined:
+    return Metrics.count(
+        FailedAttempts,
+        {{"service", Service}, {"outcome", outcomeLabel(Decision.Outcome)}});
+  case request_step::Relayed: {
+    const bool IsServed = Decision.Status < FirstServerError;
+    Metrics.count(Requests,
+                  {{"service", Service},
+                   {"outcome", IsServed ? "served" : "server_error"}});
+    if (IsServed)
+      Metrics.observe(
+          Duration,
+          {{"service", Service},
+           {"execution", Decision.Execution == execution_rule::Repeatable
+                             ? "repeatable"
+                             : "at_most_once"}},
+          std::chrono::duration<double>(Decision.Age).count());
+    return;
+  }
+  case request_step::Refused:
+    Metrics.count(Requests, {{"service", Service}, {"outcome", "refused"}});
+    return Metrics.count(
+        Refusals, {{"reason", std::string(refusalName(Decision.Reason))}});
+  case request_step::Left:
+    return Metrics.count(Requests, {{"service", Service}, {"outcome", "left"}});
+  }
+}
+
+double seconds(duration Time) {
+  return std::chrono::duration<double>(Time).count();
+}
+
+} // namespace
+
+gateway_observer bw::makeDecisionMetrics(metric_registry &Metrics) {
+  return {.OnRequest =
+              [&Metrics](const request_decision &Decision) {
+                countRequest(Metrics, Decision);
+              },
+          .OnServer =
+              [&Metrics](const pool_change &Change) {
+                Metrics.count(ServerChanges,
+                              {{"service", Change.Server.Service.value()},
+                               {"change", changeLabel(Change.Kind)}});
+              },
+          .OnConfiguration =
+              [&Metrics](config_version, config_version) {
+                Metrics.count(ConfigurationChanges, {});
+              }};
+}
+
+gateway_observer bw::combineObservers(gateway_observer First,
+                                      gateway_observer Second) {
+  return {
+      .OnRequest =
+          [A = First.OnRequest,
+           B = Second.OnRequest](const request_decision &Decision) {
+            A(Decision);
+            B(Decision);
+          },
+      .OnServer =
+          [A = First.OnServer, B = Second.OnServer](const pool_change &Change) {
+            A(Change);
+            B(Change);
+          },
+      .OnConfiguration =
+          [A = First.OnConfiguration,
+           B = Second.OnConfiguration](config_version Old, config_version New) {
+            A(Old, New);
+            B(Old, New);
+          }};
+}
+
+void bw::addDaemonMetrics(metric_registry &Metrics,
+                          const metric_sources &Sources) {
+  Metrics.describe(Requests, "Requests of callers by service and outcome.");
+  Metrics.describe(Refusals, "Answers of the host itself by reason.");
+  Metrics.describe(Attempts, "Requests sent to servers by cause.");
+  Metrics.describe(FailedAttempts, "Attempts without a usable answer.");
+  Metrics.describe(ServerChanges, "Changes of what is known of servers.");
+  Metrics.describe(ConfigurationChanges, "Configurations put in force.");
+  Metrics.describe(Duration, "From arrival to the decision to hand on.");
+  const auto Add = [&](const std::string &Name, const std::string &Help,
+                       std::function<double()> Value) {
+    Metrics.describe(Name, Help);
+    Metrics.addGauge(Name, {}, std::move(Value));
+  };
+  const metric_sources S = Sources;
+  Metrics.describe("bramleywinch_build_info", "Always 1; names the program.");
+  Metrics.addGauge("bramleywinch_build_info",
+                   {{"host", S.Host}, {"version", S.Version}},
+                   [] { return 1.0; });
+  Add("bramleywinch_time_seconds", "Unix time of this page.", [] {
+    return std::chrono::duration<double>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+  });
+  Add("bramleywinch_open_requests", "Requests without an answer.",
+      [&D = S.Decide] { return double(D.openRequests()); });
+  Add("bramleywinch_ready", "1 when this host takes new callers.",
+      [&D = S.Decide] { return D.isReady() ? 1.0 : 0.0; });
+  Add("bramleywinch_configuration_version", "Version in force.",
+      [&D = S.Decide] { return double(D.version().value()); });
+  Add("bramleywinch_server_list_age_seconds",
+      "Since the list of servers was read from the store, by any host.",
+      [&State = S.State] { return seconds(State.ownState().ListAge); });
+  Add("bramleywinch_servers_listed", "Servers in the list.",
+      [&State = S.State] {
+        const auto Known = State.servers();
+        return Known ? double(Known->Servers.size()) : 0.0;
+      });
+  Add("bramleywinch_hosts_listed", "Other hosts known from the store.",
+      [&State = S.State] { return double(State.hosts().size()); });
+  Add("bramleywinch_caller_connections_accepted", "Connections of callers.",
+      [&F = S.Forward] {
+        return double(F.counters().CallerConnections.load());
+      });
+  Add("bramleywinch_server_connections_opened", "Connections to servers.",
+      [&F = S.Forward] {
+        return double(F.counters().ServerConnections.load());
+      });
+  Add("bramleywinch_transfers_aborted", "Answers that broke off halfway.",
+      [&F = S.Forward] { return double(F.counters().Aborted.load()); });
+  Add("bramleywinch_log_lines_written", "Log lines written.",
+      [&L = S.Log] { return double(L.writtenLines()); });
+  Add("bramleywinch_log_lines_dropped", "Log lines dropped.",
+      [&L = S.Log] { return double(L.droppedLines()); });
+}
