--- /dev/null
+++ b/modules/bw_forward/service/forward_service_test.cpp
@@ -0,0 +1,521 @@
+// The forward duty on real loopback sockets, with scripted callers, servers
+// and decisions.
+
+#include "bw_forward/service/forward_service.h"
+
+#include "bw_kernel/services/kernel.h"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/streambuf.hpp>
+#include <asio/write.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <poll.h>
+
+#include <atomic>
+#include <thread>
+
+using namespace bw;
+using namespace std::chrono_literals;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr duration WaitLimit = 5s;
+
+// Takes the place of the decide duty: keeps events for the test.
+class scripted_decide : public gateway_event_sink {
+public:
+  explicit scripted_decide(runtime_clock &Clock)
+      : gateway_event_sink(std::string(ServiceName)), Clock(Clock),
+        Events(Clock, {.Capacity = 256}) {}
+
+  void attach(service_registry &) override {}
+  void start() override {}
+  void stop() override {}
+  gateway_event_ring &events() override { return Events; }
+
+  template <typename Event> Event next() {
+    auto Taken = Events.pop(Clock.now() + WaitLimit);
+    CPPUNIT_ASSERT_MESSAGE("no event within the limit", Taken.has_value());
+    CPPUNIT_ASSERT(std::holds_alternative<Event>(*Taken));
+    return std::get<Event>(std::move(*Taken));
+  }
+
+private:
+  runtime_clock &Clock;
+  gateway_event_ring Events;
+};
+
+// A blocking socket with bounded reads.
+class test_socket {
+public:
+  test_socket() : Socket(Context) {}
+
+  void connect(std::uint16_t Port) {
+    Socket.connect({asio::ip::address_v4::loopback(), Port});
+  }
+  void write(const std::string &Bytes) {
+    asio::write(Socket, asio::buffer(Bytes));
+  }
+  // What comes until the text is in it. Empty when the connection ends first.
+  std::string readUntil(const std::string &Text) {
+    std::string Bytes;
+    while (Bytes.find(Text) == std::string::npos) {
+      const std::string Part = readSome();
+      if (Part.empty())
+        return "";
+      Bytes += Part;
+    }
+    return Bytes;
+  }
+  // Empty at the end of the connection.
+  std::string readSome() {
+    pollfd Poll{.fd = Socket.native_handle(), .events = POLLIN, .revents = 0};
+    CPPUNIT_ASSERT_MESSAGE("nothing to read within the limit",
+                           ::poll(&Poll, 1, 5000) == 1);
+    char Buffer[65'536];
+    asio::error_code Code;
+    const std::size_t Size = Socket.read_some(asio::buffer(Buffer), Code);
+    WasReset = Code == asio::error::connection_reset;
+    return Code ? "" : std::string(Buffer, Size);
+  }
+  bool isClosedByPeer() { return readSome().empty(); }
+
+  asio::io_context Context;
+  tcp::socket Socket;
+  bool WasReset = false;
+};
+
+// A backend server whose answers the test writes.
+class scripted_server {
+public:
+  scripted_server()
+      : Acceptor(Context, {asio::ip::address_v4::loopback(), 0}) {}
+
+  server_address address() const {
+    return server_address("127.0.0.1:" +
+                          std::to_string(Acceptor.local_endpoint().port()));
+  }
+  std::unique_ptr<test_socket> accept() {
+    pollfd Poll{.fd = Acceptor.native_handle(), .events = POLLIN, .revents = 0};
+    CPPUNIT_ASSERT_MESSAGE("no connection within the limit",
+                           ::poll(&Poll, 1, 5000) == 1);
+    auto Result = std::make_unique<test_socket>();
+    Acceptor.accept(Result->Socket);
+    return Result;
+  }
+  void close() { Acceptor.close(); }
+
+private:
+  asio::io_context Context;
+  tcp::acceptor Acceptor;
+};
+
+std::string request(const std::string &Label, const std::string &Method = "GET",
+                    const std::string &Body = "",
+                    const std::string &More = "") {
+  std::string Out = Method +
+                    " /diary/1?q=2 HTTP/1.1\r\nHost: one.example\r\n"
+                    "Bw-Request-Id: " +
+                    Label + "\r\nBw-Deadline-Ms: 4000\r\n" + More;
+  if (!Body.empty())
+    Out += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
+  return Out + "\r\n" + Body;
+}
+
+std::string answer(const std::string &Label, const std::string &Body,
+                   const std::string &More = "") {
+  return "HTTP/1.1 200 OK\r\nBw-Request-Id: " + Label + "\r\n" + More +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+} // namespace
+
+class forward_service_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(forward_service_test);
+  CPPUNIT_TEST(handsARequestAndItsAnswerOnUnchanged);
+  CPPUNIT_TEST(keepsConnectionsOnBothSides);
+  CPPUNIT_TEST(answersPipelinedRequestsInOrder);
+  CPPUNIT_TEST(skipsTheLateAnswerToAnotherRequest);
+  CPPUNIT_TEST(aServerConnectionWithExtraBytesIsNotUsedAgain);
+  CPPUNIT_TEST(aDeadKeptConnectionNeverResendsARequest);
+  CPPUNIT_TEST(aServerThatIsNotThereWasNotSentTheRequest);
+  CPPUNIT_TEST(aBrokenAnswerNeverLooksWhole);
+  CPPUNIT_TEST(aCallerThatLeavesEndsTheServersWork);
+  CPPUNIT_TEST(aRefusalTellsWhenToComeBack);
+  CPPUNIT_TEST(limitsAreAnsweredAndCloseTheConnection);
+  CPPUNIT_TEST(aLongAnswerIsStreamedUnderBackPressure);
+  CPPUNIT_TEST(aLongUploadIsStreamed);
+  CPPUNIT_TEST(aPlannedStopFinishesRequestsAndSendsCallersAway);
+  CPPUNIT_TEST(requestsBehindAClosingAnswerAreNotRead);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override {
+    Clock = std::make_unique<runtime_clock>();
+    Kernel = std::make_unique<kernel>();
+    Decide = &Kernel->add<scripted_decide>(*Clock);
+    Forward = &Kernel->add<forward_service>(
+        *Clock,
+        forward_service_options{.HoldLimit = kibibytes(64),
+                                .CloseIdleAfter = std::chrono::milliseconds(50),
+                                .AcceptUntil = std::chrono::milliseconds(100)});
+    Kernel->start();
+    Caller = std::make_unique<test_socket>();
+    Caller->connect(Forward->port());
+    Server = std::make_unique<scripted_server>();
+  }
+  void tearDown() override {
+    Kernel->stop();
+    Kernel.reset();
+  }
+
+  // Guards against changed methods, paths, bodies, and against fields of one
+  // connection that travel further.
+  void handsARequestAndItsAnswerOnUnchanged() {
+    Caller->write(request("r1", "POST", "body",
+                          "X-Own: kept\r\nConnection: X-Hop\r\nX-Hop: "
+                          "dropped\r\n"));
+    const auto Arrived = Decide->next<request_arrived>();
+    CPPUNIT_ASSERT_EQUAL(std::string("/diary/1"), Arrived.Path);
+    CPPUNIT_ASSERT_EQUAL(std::string("one.example"), Arrived.VirtualHost);
+    CPPUNIT_ASSERT(Arrived.Patience == 4s && Arrived.IsReplayable);
+    const auto Connection = start(Arrived, 2s);
+    const std::string Seen = Connection->readUntil("\r\n\r\nbody");
+    CPPUNIT_ASSERT(Seen.starts_with("POST /diary/1?q=2 HTTP/1.1\r\n"));
+    CPPUNIT_ASSERT(Seen.find("X-Own: kept\r\n") != Seen.npos);
+    CPPUNIT_ASSERT(Seen.find("Host: one.example\r\n") != Seen.npos);
+    CPPUNIT_ASSERT(Seen.find("Bw-Request-Id: r1\r\n") != Seen.npos);
+    CPPUNIT_ASSERT(Seen.find("Bw-Server: server-1\r\n") != Seen.npos);
+    CPPUNIT_ASSERT(Seen.find("Bw-Deadline-Ms: 4000") == Seen.npos);
+    CPPUNIT_ASSERT(Seen.find("X-Hop") == Seen.npos);
+    Connection->write(answer("r1", "result", "X-Proof: p\r\n"));
+    relay(Arrived);
+    const std::string Got = Caller->readUntil("result");
+    CPPUNIT_ASSERT(Got.starts_with("HTTP/1.1 200 OK\r\n"));
+    CPPUNIT_ASSERT(Got.find("X-Proof: p\r\n") != Got.npos);
+  }
+
+  // Guards against a new connection, and its price, for every request.
+  void keepsConnectionsOnBothSides() {
+    auto Connection = serve("r1", nullptr);
+    serve("r2", Connection.get());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1),
+                         Forward->counters().ServerConnections.load());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1),
+                         Forward->counters().CallerConnections.load());
+  }
+
+  // Guards against an answer that reaches the wrong request.
+  void answersPipelinedRequestsInOrder() {
+    Caller->write(request("r1") + request("r2"));
+    const auto First = Decide->next<request_arrived>();
+    const auto Second = Decide->next<request_arrived>();
+    const auto FirstConnection = start(First);
+    const auto SecondConnection = start(Second, 2s, "server-2");
+    SecondConnection->readUntil("\r\n\r\n");
+    SecondConnection->write(answer("r2", "second"));
+    relay(Second);
+    FirstConnection->readUntil("\r\n\r\n");
+    FirstConnection->write(answer("r1", "first."));
+    relay(First);
+    const std::string Got = Caller->readUntil("second");
+    CPPUNIT_ASSERT(Got.find("first.") < Got.find("second"));
+  }
+
+  // Guards against an extra answer, sent late, that is taken for the next one.
+  void skipsTheLateAnswerToAnotherRequest() {
+    Caller->write(request("r2"));
+    const auto Arrived = Decide->next<request_arrived>();
+    const auto Connection = start(Arrived);
+    Connection->readUntil("\r\n\r\n");
+    Connection->write(answer("r1", "of another") + answer("r2", "mine"));
+    relay(Arrived);
+    const std::string Got = Caller->readUntil("mine");
+    CPPUNIT_ASSERT(Got.find("of another") == Got.npos);
+    CPPUNIT_ASSERT(Connection->isClosedByPeer());
+  }
+
+  // Guards against bytes after an answer that reach the next request.
+  void aServerConnectionWithExtraBytesIsNotUsedAgain() {
+    Caller->write(request("r1"));
+    const auto Arrived = Decide->next<request_arrived>();
+    const auto Connection = start(Arrived);
+    Connection->readUntil("\r\n\r\n");
+    Connection->write(answer("r1", "result") + "EXTRA");
+    relay(Arrived);
+    Caller->readUntil("result");
+    CPPUNIT_ASSERT(Connection->isClosedByPeer());
+  }
+
+  // Guards against a client library that silently repeats a request when a
+  // kept connection dies: a submission would run twice.
+  void aDeadKeptConnectionNeverResendsARequest() {
+    auto Connection = serve("r1", nullptr);
+    Caller->write(request("r2", "POST", "pay"));
+    const auto Arrived = Decide->next<request_arrived>();
+    command(startCommand(Arrived, 2s, "server-1"));
+    Connection->readUntil("pay");
+    Connection->Socket.close();
+    const auto Ended = Decide->next<attempt_ended>();
+    CPPUNIT_ASSERT(Ended.Outcome == attempt_outcome::Broken);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1),
+                         Forward->counters().ServerConnections.load());
+  }
+
+  // Guards against giving up requests that no server has seen.
+  void aServerThatIsNotThereWasNotSentTheRequest() {
+    Caller->write(request("r1", "POST", "pay"));
+    const auto Arrived = Decide->next<request_arrived>();
+    start_attempt Command = startCommand(Arrived, 2s, "server-1");
+    Server->close();
+    command(Command);
+    CPPUNIT_ASSERT(Decide->next<attempt_ended>().Outcome ==
+                   attempt_outcome::NotSent);
+  }
+
+  // Guards against callers that take half an answer for the whole.
+  void aBrokenAnswerNeverLooksWhole() {
+    for (const char *Framing :
+         {"Content-Length: 500000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n"
+                                            "7A120\r\n"}) {
+      Caller = std::make_unique<test_socket>();
+      Caller->connect(Forward->port());
+      Caller->write(request("r1"));
+      const auto Arrived = Decide->next<request_arrived>();
+      const auto Connection = start(Arrived);
+      Connection->readUntil("\r\n\r\n");
+      Connection->write(
+          std::string("HTTP/1.1 200 OK\r\nBw-Request-Id: r1\r\n") + Framing +
+          std::string(100'000, 'x'));
+      CPPUNIT_ASSERT(!Decide->next<attempt_ended>().IsComplete);
+      command(relay_answer{.Request = Arrived.Request,
+                           .Attempt = attempt_number(1)});
+      Caller->readUntil("xxx");
+      Connection->Socket.close();
+      CPPUNIT_ASSERT(!Decide->next<relay_ended>().IsComplete);
+      while (!Caller->isClosedByPeer()) {
+      }
+      CPPUNIT_ASSERT(Caller->WasReset);
+      // The second round uses a server of another name.
+      Server = std::make_unique<scripted_server>();
+    }
+  }
+
+  // Guards against work at servers for callers that are gone.
+  void aCallerThatLeavesEndsTheServersWork() {
+    Caller->write(request("r1"));
+    const auto Arrived = Decide->next<request_arrived>();
+    const auto Connection = start(Arrived);
+    Connection->readUntil("\r\n\r\n");
+    Caller->Socket.close();
+    CPPUNIT_ASSERT(Decide->next<caller_left>().Request == Arrived.Request);
+    CPPUNIT_ASSERT(Connection->isClosedByPeer());
+  }
+
+  void aRefusalTellsWhenToComeBack() {
+    Caller->write(request("r1"));
+    const auto Arrived = Decide->next<request_arrived>();
+    command(refuse_request{.Request = Arrived.Request,
+                           .Reason = refusal_reason::NoServer,
+                           .RetryAfter = std::chrono::milliseconds(1500)});
+    const std::string Got = Caller->readUntil("\r\n\r\n");
+    CPPUNIT_ASSERT(Got.starts_with("HTTP/1.1 503 "));
+    CPPUNIT_ASSERT(Got.find("Retry-After: 2\r\n") != Got.npos);
+    // The connection stays for the next request.
+    Caller->write(request("r2"));
+    Decide->next<request_arrived>();
+  }
+
+  // Guards against input that fills a host, and against requests that are read
+  // behind one that could not be.
+  void limitsAreAnsweredAndCloseTheConnection() {
+    caller_limits Limits;
+    Limits.Header = kibibytes(1);
+    Limits.Body = byte_count(100);
+    command(limits_changed{Limits});
+    const struct {
+      const char *Failure;
+      std::string Bytes;
+      const char *Status;
+    } Cases[] = {
+        {"a large head is read",
+         request("r", "GET", "", "X: " + std::string(2000, 'x') + "\r\n"),
+         "431"},
+        {"a large body is read", request("r", "POST", std::string(101, 'x')),
+         "413"},
+        {"a large chunked body is read",
+         request("r", "POST", "", "Transfer-Encoding: chunked\r\n") + "65\r\n" +
+             std::string(101, 'x') + "\r\n0\r\n\r\n",
+         "413"},
+        {"garbage is read", "nonsense\r\n\r\n", "400"},
+    };
+    for (const auto &Case : Cases) {
+      test_socket Other;
+      Other.connect(Forward->port());
+      Other.write(Case.Bytes + request("behind"));
+      const std::string Got = Other.readUntil("\r\n\r\n");
+      CPPUNIT_ASSERT_MESSAGE(
+          Case.Failure,
+          Got.starts_with(std::string("HTTP/1.1 ") + Case.Status));
+      CPPUNIT_ASSERT_MESSAGE(Case.Failure, Other.isClosedByPeer());
+    }
+    CPPUNIT_ASSERT(!Decide->events().tryPop());
+  }
+
+  // Guards against long answers that fill a host while the caller is slow, and
+  // against bytes that are lost or doubled on the way.
+  void aLongAnswerIsStreamedUnderBackPressure() {
+    constexpr std::size_t Size = 40'000'000;
+    Caller->write(request("r1"));
+    const auto Arrived = Decide->next<request_arrived>();
+    const auto Connection = start(Arrived);
+    Connection->readUntil("\r\n\r\n");
+    std::string Body(Size, ' ');
+    for (std::size_t Place = 0; Place < Size; ++Place)
+      Body[Place] = char('a' + Place % 23);
+    std::atomic<std::size_t> Written = 0;
+    std::thread Writer([&] {
+      const std::string Bytes = answer("r1", Body);
+      constexpr std::size_t Piece = 50'000;
+      for (std::size_t Place = 0; Place < Bytes.size(); Place += Piece) {
+        Connection->write(Bytes.substr(Place, Piece));
+        Written = Place;
+      }
+    });
+    CPPUNIT_ASSERT(!Decide->next<attempt_ended>().IsComplete);
+    command(
+        relay_answer{.Request = Arrived.Request, .Attempt = attempt_number(1)});
+    // Nothing is read by the caller, so the server must come to a halt with
+    // most of the answer unwritten; socket buffers take some megabytes.
+    std::size_t Before = 1;
+    for (int Round = 0; Round < 100 && Before != Written; ++Round) {
+      Before = Written;
+      std::this_thread::sleep_for(100ms);
+    }
+    CPPUNIT_ASSERT(Written < Size * 3 / 4);
+    std::string Got;
+    while (Got.find("\r\n\r\n") == Got.npos)
+      Got += Caller->readSome();
+    Got.erase(0, Got.find("\r\n\r\n") + 4);
+    while (Got.size() < Size)
+      Got += Caller->readSome();
+    Writer.join();
+    CPPUNIT_ASSERT(Got == Body);
+    CPPUNIT_ASSERT(Decide->next<relay_ended>().IsComplete);
+  }
+
+  // Guards against uploads that must fit into memory.
+  void aLongUploadIsStreamed() {
+    const std::string Body(300'000, 'u');
+    std::thread Writer([&] { Caller->write(request("r1", "POST", Body)); });
+    const auto Arrived = Decide->next<request_arrived>();
+    CPPUNIT_ASSERT(!Arrived.IsReplayable);
+    const auto Connection = start(Arrived);
+    std::string Seen = Connection->readUntil("\r\n\r\n");
+    while (Seen.size() < Body.size() ||
+           Seen.size() - Seen.find("\r\n\r\n") - 4 < Body.size())
+      Seen += Connection->readSome();
+    Writer.join();
+    CPPUNIT_ASSERT(Seen.substr(Seen.find("\r\n\r\n") + 4) == Body);
+    Connection->write(answer("r1", "stored"));
+    relay(Arrived);
+    Caller->readUntil("stored");
+  }
+
+  // Guards against planned stops that lose a request, and against callers that
+  // hold the process.
+  void aPlannedStopFinishesRequestsAndSendsCallersAway() {
+    test_socket Idle;
+    Idle.connect(Forward->port());
+    Caller->write(request("r1"));
+    const auto Arrived = Decide->next<request_arrived>();
+    const auto Connection = start(Arrived);
+    Connection->readUntil("\r\n\r\n");
+    Forward->beginStop();
+    CPPUNIT_ASSERT(Idle.isClosedByPeer());
+    CPPUNIT_ASSERT(!Forward->isDrained());
+    Connection->write(answer("r1", "result"));
+    relay(Arrived);
+    const std::string Got = Caller->readUntil("result");
+    CPPUNIT_ASSERT(Got.find("Connection: close\r\n") != Got.npos);
+    CPPUNIT_ASSERT(Caller->isClosedByPeer());
+    Caller->Socket.close();
+    Idle.Socket.close();
+    const time_point Limit = Clock->now() + WaitLimit;
+    while (!Forward->isDrained() && Clock->now() < Limit)
+      std::this_thread::sleep_for(5ms);
+    CPPUNIT_ASSERT(Forward->isDrained());
+  }
+
+  // Guards against running a request that its caller sends again elsewhere,
+  // since it stood behind an answer that closes the connection.
+  void requestsBehindAClosingAnswerAreNotRead() {
+    Caller->write(request("r1", "GET", "", "Connection: close\r\n") +
+                  request("r2", "POST", "pay"));
+    const auto Arrived = Decide->next<request_arrived>();
+    const auto Connection = start(Arrived);
+    Connection->readUntil("\r\n\r\n");
+    Connection->write(answer("r1", "result"));
+    relay(Arrived);
+    Caller->readUntil("result");
+    CPPUNIT_ASSERT(Caller->isClosedByPeer());
+    CPPUNIT_ASSERT(!Decide->events().tryPop());
+  }
+
+private:
+  void command(gateway_command Command) {
+    Forward->commands().push(std::move(Command));
+  }
+
+  start_attempt startCommand(const request_arrived &Arrived, duration TimeLeft,
+                             const std::string &Name) {
+    return {.Request = Arrived.Request,
+            .Attempt = attempt_number(1),
+            .Server = backend_server_id(Name),
+            .Address = Server->address(),
+            .TimeLeft = TimeLeft};
+  }
+
+  std::unique_ptr<test_socket> start(const request_arrived &Arrived,
+                                     duration TimeLeft = 2s,
+                                     const std::string &Name = "server-1") {
+    command(startCommand(Arrived, TimeLeft, Name));
+    return Server->accept();
+  }
+
+  void relay(const request_arrived &Arrived) {
+    const auto Ended = Decide->next<attempt_ended>();
+    CPPUNIT_ASSERT(Ended.Outcome == attempt_outcome::Answered);
+    command(relay_answer{.Request = Arrived.Request, .Attempt = Ended.Attempt});
+  }
+
+  // One request from end to end; on a kept server connection if one is given.
+  std::unique_ptr<test_socket> serve(const std::string &Label,
+                                     test_socket *Kept) {
+    Caller->write(request(Label));
+    const auto Arrived = Decide->next<request_arrived>();
+    command(startCommand(Arrived, 2s, "server-1"));
+    std::unique_ptr<test_socket> Fresh;
+    if (Kept == nullptr)
+      Fresh = Server->accept();
+    test_socket &Connection = Kept == nullptr ? *Fresh : *Kept;
+    Connection.readUntil("\r\n\r\n");
+    Connection.write(answer(Label, "result"));
+    relay(Arrived);
+    Caller->readUntil("result");
+    return Fresh;
+  }
+
+  std::unique_ptr<runtime_clock> Clock;
+  std::unique_ptr<kernel> Kernel;
+  scripted_decide *Decide = nullptr;
+  forward_service *Forward = nullptr;
+  std::unique_ptr<test_socket> Caller;
+  std::unique_ptr<scripted_server> Server;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(forward_service_test);
--- /dev/null
+++ b/modules/bw_gateway_daemon/follow/followers_test.cpp
@@ -0,0 +1,262 @@
+// The followers against scripted stores.
+
+#include "bw_gateway_daemon/follow/configuration_follower.h"
+#include "bw_gateway_daemon/follow/host_follower.h"
+#include "bw_gateway_daemon/follow/server_follower.h"
+
+#include "bw_kernel/services/kernel.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <mutex>
+
+using namespace bw;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration WaitLimit = 5s;
+
+class event_sink : public gateway_event_sink {
+public:
+  explicit event_sink(runtime_clock &Clock)
+      : gateway_event_sink(std::string(ServiceName)), Clock(Clock),
+        Events(Clock, {.Capacity = 1024}) {}
+  void attach(service_registry &) override {}
+  void start() override {}
+  void stop() override {}
+  gateway_event_ring &events() override { return Events; }
+
+  template <typename Event, typename Condition>
+  Event waitFor(const Condition &IsWanted) {
+    while (auto Taken = Events.pop(Clock.now() + WaitLimit)) {
+      if (auto *Found = std::get_if<Event>(&*Taken))
+        if (IsWanted(*Found))
+          return std::move(*Found);
+    }
+    CPPUNIT_FAIL("no such event within the limit");
+    return {};
+  }
+
+private:
+  runtime_clock &Clock;
+  gateway_event_ring Events;
+};
+
+std::shared_ptr<const gateway_configuration>
+configuration(std::uint64_t Version) {
+  auto Result = std::make_shared<gateway_configuration>();
+  Result->Version = config_version(Version);
+  return Result;
+}
+
+listed_server server(const std::string &Name, bool IsLeaving = false) {
+  return {.Server = backend_server_id(Name),
+          .Service = service_id("diary"),
+          .Slots = slot_count(2),
+          .Leaving = IsLeaving};
+}
+
+} // namespace
+
+class followers_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(followers_test);
+  CPPUNIT_TEST(aChangeThatNoWatchToldIsFound);
+  CPPUNIT_TEST(lostHistoryIsReadAnew);
+  CPPUNIT_TEST(aStoreThatComesBackIsFollowedOn);
+  CPPUNIT_TEST(aLongListIsFollowedByItsChanges);
+  CPPUNIT_TEST(aShortListIsAlwaysReadInFull);
+  CPPUNIT_TEST(aRemovedHostAnnouncesItselfAgain);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override {
+    Clock = std::make_unique<runtime_clock>();
+    Kernel = std::make_unique<kernel>();
+    Sink = &Kernel->add<event_sink>(*Clock);
+    State = &Kernel->add<platform_state>(
+        *Clock,
+        platform_state_options{.Self = {.Host = host_id("h1")},
+                               .DrainBound = std::chrono::milliseconds(20)});
+  }
+  void tearDown() override {
+    Kernel->stop();
+    Kernel.reset();
+  }
+
+  // Guards against a store that drops its history while a watch waits: the
+  // watch ends without a change and with a later revision, past the change.
+  void aChangeThatNoWatchToldIsFound() {
+    std::atomic<int> Watches = 0;
+    follow({.ReadConfiguration =
+                [] {
+                  return configuration_watch{.End = watch_end::Changed,
+                                             .Revision = store_revision(10),
+                                             .Configuration = configuration(1)};
+                },
+            .WatchConfiguration =
+                [&](store_revision After, std::chrono::milliseconds) {
+                  if (++Watches == 1)
+                    return configuration_watch{.End = watch_end::Unchanged,
+                                               .Revision = store_revision(20)};
+                  // The change was made at revision 15.
+                  if (After < store_revision(15))
+                    return configuration_watch{.End = watch_end::Changed,
+                                               .Revision = store_revision(20),
+                                               .Configuration =
+                                                   configuration(2)};
+                  std::this_thread::sleep_for(1ms);
+                  return configuration_watch{.End = watch_end::Unchanged,
+                                             .Revision = After};
+                }});
+    waitForVersion(2);
+  }
+
+  void lostHistoryIsReadAnew() {
+    std::atomic<std::uint64_t> Stored = 1;
+    follow({.ReadConfiguration =
+                [&] {
+                  return configuration_watch{.End = watch_end::Changed,
+                                             .Revision = store_revision(Stored),
+                                             .Configuration =
+                                                 configuration(Stored)};
+                },
+            .WatchConfiguration =
+                [&](store_revision, std::chrono::milliseconds) {
+                  Stored = 2;
+                  std::this_thread::sleep_for(1ms);
+                  return configuration_watch{.End = watch_end::HistoryGone};
+                }});
+    waitForVersion(2);
+  }
+
+  void aStoreThatComesBackIsFollowedOn() {
+    std::atomic<int> Calls = 0;
+    follow({.ReadConfiguration = [&] {
+      return ++Calls < 3
+                 ? configuration_watch{}
+                 : configuration_watch{.End = watch_end::Changed,
+                                       .Revision = store_revision(1),
+                                       .Configuration = configuration(1)};
+    }});
+    waitForVersion(1);
+    CPPUNIT_ASSERT(Calls >= 3);
+  }
+
+  // Guards against the price of reading many pages again and again, and
+  // against changes that are lost on the way.
+  void aLongListIsFollowedByItsChanges() {
+    std::atomic<int> FullReads = 0;
+    std::atomic<std::uint64_t> Revision = 1;
+    followServers({.ReadServers =
+                       [&] {
+                         ++FullReads;
+                         return servers_reading{
+                             .List = {.Revision = store_revision(1),
+                                      .Servers = {server("a"), server("b")}},
+                             .Calls = 4};
+                       },
+                   .ReadServerChanges =
+                       [&](store_revision After) {
+                         CPPUNIT_ASSERT(After == store_revision(Revision));
+                         servers_watch Result{.End = watch_end::Changed,
+                                              .Revision =
+                                                  store_revision(++Revision)};
+                         if (Revision == 2)
+                           Result.Changes = {{.Server = backend_server_id("a"),
+                                              .Now = server("a", true)},
+                                             {.Server = backend_server_id("c"),
+                                              .Now = server("c")}};
+                         else if (Revision == 3)
+                           Result.Changes = {{.Server = backend_server_id("a"),
+                                              .Now = std::nullopt}};
+                         return Result;
+                       }});
+    const auto Second = Sink->waitFor<servers_listed>(
+        [](const servers_listed &Each) { return Each.Servers.size() == 3; });
+    CPPUNIT_ASSERT(Second.Servers[0].Leaving);
+    const auto Third = Sink->waitFor<servers_listed>(
+        [](const servers_listed &Each) { return Each.Servers.size() == 2; });
+    CPPUNIT_ASSERT(Third.Servers[0].Server == backend_server_id("b"));
+    CPPUNIT_ASSERT_EQUAL(1, FullReads.load());
+  }
+
+  void aShortListIsAlwaysReadInFull() {
+    std::atomic<int> FullReads = 0;
+    followServers({.ReadServers =
+                       [&] {
+                         return servers_reading{
+                             .List = {.Revision = store_revision(
+                                          std::uint64_t(++FullReads)),
+                                      .Servers = {server("a")}}};
+                       },
+                   .ReadServerChanges =
+                       [](store_revision) {
+                         CPPUNIT_FAIL("changes were read");
+                         return servers_watch{};
+                       }});
+    Sink->waitFor<servers_listed>([](const servers_listed &Each) {
+      return Each.Revision == store_revision(3);
+    });
+  }
+
+  // Guards against a host that was taken for gone and is never reported to
+  // again.
+  void aRemovedHostAnnouncesItselfAgain() {
+    std::atomic<int> Announced = 0;
+    std::atomic<int> Reads = 0;
+    Kernel->add<host_follower>(
+        *Clock, host_follower_options{
+                    .Source = {.AnnounceHost =
+                                   [&](const gateway_host &Host) {
+                                     CPPUNIT_ASSERT(Host.Host == host_id("h1"));
+                                     ++Announced;
+                                     return true;
+                                   },
+                               .ReadHosts = [&](bool)
+                                   -> std::optional<std::vector<gateway_host>> {
+                                 ++Reads;
+                                 return std::vector<gateway_host>{};
+                               }},
+                    .Interval = std::chrono::milliseconds(1),
+                    .FirstPause = std::chrono::milliseconds(1),
+                    .RetryPause = std::chrono::milliseconds(1)});
+    Kernel->start();
+    const time_point Limit = Clock->now() + WaitLimit;
+    while (Announced < 2 && Clock->now() < Limit)
+      std::this_thread::sleep_for(1ms);
+    CPPUNIT_ASSERT(Announced >= 2);
+    CPPUNIT_ASSERT(Reads >= 2);
+  }
+
+private:
+  void follow(platform_source Source) {
+    Kernel->add<configuration_follower>(
+        *Clock, configuration_follower_options{
+                    .Source = std::move(Source),
+                    .RetryPause = std::chrono::milliseconds(1)});
+    Kernel->start();
+  }
+
+  void followServers(platform_source Source) {
+    Kernel->add<server_follower>(
+        *Clock,
+        server_follower_options{.Source = std::move(Source),
+                                .RetryPause = std::chrono::milliseconds(1)});
+    Kernel->start();
+  }
+
+  void waitForVersion(std::uint64_t Version) {
+    Sink->waitFor<configuration_read>([&](const configuration_read &Each) {
+      return Each.Configuration->Version == config_version(Version);
+    });
+  }
+
+  std::unique_ptr<runtime_clock> Clock;
+  std::unique_ptr<kernel> Kernel;
+  event_sink *Sink = nullptr;
+  platform_state *State = nullptr;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(followers_test);
