--- a/modules/bw_control/bw_control.h
+++ b/modules/bw_control/bw_control.h
@@ -3,7 +3,7 @@
 /// exit codes. All of it runs without sockets when its hooks are replaced.
 ///
 /// Depends on: bw_core, bw_kernel, bw_schema, bw_http, bw_platform,
-/// bw_operations.
+/// bw_operations, bw_reports.
 #ifndef BW_CONTROL_BW_CONTROL_H
 #define BW_CONTROL_BW_CONTROL_H
 
--- a/modules/bw_control/command_line/command_line.cpp
+++ b/modules/bw_control/command_line/command_line.cpp
@@ -130,6 +130,13 @@
     CLI::App &Report = addGroup("report", "Reports");
     addCommand(Report, "burn", "Burn rates and budget left of the objectives",
                control_command::ReportBurn);
+    CLI::App *Explain =
+        addCommand(App, "explain", "Tell a request's story from logs",
+                   control_command::Explain);
+    Explain->add_option("request", Line.Name, "Id of the request")->required();
+    Explain->add_option("logs", Line.LogFiles, "Logs of daemons")->required();
+    addCommand(App, "top", "Show a daemon's metrics at a glance",
+               control_command::Top);
     CLI::App &Credential = addGroup("credential", "Credentials");
     CLI::App *New = addCommand(Credential, "new",
                                "Make a credential; its secret is shown once",
@@ -165,7 +172,7 @@
   if [[ "$Word" == -* ]]; then
     COMPREPLY=($(compgen -W "--endpoint --credential-file --output --file --prune --expect --change-id --platform --help --version" -- "$Word"))
   else
-    COMPREPLY=($(compgen -W "apply diff get validate status drain audit report credential completion" -- "$Word"))
+    COMPREPLY=($(compgen -W "apply diff get validate status drain audit report explain top credential completion" -- "$Word"))
   fi
 }
 complete -F _bwctl bwctl
--- a/modules/bw_control/command_line/command_line.h
+++ b/modules/bw_control/command_line/command_line.h
@@ -20,6 +20,8 @@
   ReportBurn,
   CredentialNew,
   CompletionBash,
+  Explain,
+  Top,
 };
 
 enum class output_format { Table, Json, Yaml };
@@ -35,9 +37,11 @@
   std::string ChangeId;
   std::optional<std::uint64_t> Expected;
   bool Prune = false;
-  /// Host or caller that the command is about.
+  /// Host, caller or request that the command is about.
   std::string Name;
   std::string PlatformUrl;
+  /// Logs of daemons.
+  std::vector<std::string> LogFiles;
 };
 
 /// Result of parsing: a command, or a text to print with an exit code.
--- a/modules/bw_control/commands/control_program.cpp
+++ b/modules/bw_control/commands/control_program.cpp
@@ -8,6 +8,8 @@
 #include "bw_operations/credentials/credential_check.h"
 #include "bw_operations/errors/operations_errors.h"
 #include "bw_platform/client/platform_client.h"
+#include "bw_reports/logs/request_story.h"
+#include "bw_reports/metrics/metrics_glance.h"
 #include "bw_schema/errors/declaration_error.h"
 #include "bw_schema/validation/configuration_validator.h"
 #include "bw_schema/validation/names.h"
@@ -168,6 +170,10 @@
     return reportBurn(Line);
   case control_command::CredentialNew:
     return newCredential(Line);
+  case control_command::Explain:
+    return explain(Line);
+  case control_command::Top:
+    return top(Line);
   case control_command::CompletionBash:
     Options.Out << bashCompletion();
     return;
@@ -342,6 +348,43 @@
   print(Line, Answer, burnText(Answer));
 }
 
+void control_program::explain(const command_line &Line) const {
+  request_story Story(Line.Name);
+  for (const std::string &Name : Line.LogFiles) {
+    std::ifstream File(Name);
+    if (!File || std::filesystem::is_directory(Name))
+      throw control_error(exit_code::Invalid, Name + ": cannot be read");
+    Story.read(File, Name);
+  }
+  for (const unreadable_line &Each : Story.unreadable())
+    Options.Error << Each.File << ":" << Each.Line
+                  << ": not a log line, skipped\n";
+  Options.Out << (Line.Output == output_format::Json ? storyJson(Story)
+                                                     : storyText(Story));
+  if (Story.steps().empty())
+    throw control_error(exit_code::Invalid,
+                        "no line about request " + printable(Line.Name));
+}
+
+void control_program::top(const command_line &Line) const {
+  if (Line.Endpoint.empty())
+    throw control_error(exit_code::Usage, "--endpoint is required");
+  const call_result Result =
+      Options.Send({.Method = "GET",
+                    .Url = Line.Endpoint + "/metrics",
+                    .Timeout = std::chrono::milliseconds(3000)});
+  constexpr int Ok = 200;
+  if (Result.Transfer.Status != transfer_status::Complete ||
+      Result.Response.Status != Ok)
+    throw control_error(exit_code::Unavailable,
+                        Line.Endpoint + " gives no metrics");
+  const metrics_page Page = parseMetrics(Result.Response.Body);
+  for (const std::size_t Number : Page.BadLines)
+    Options.Error << "line " << Number << ": not a metric, skipped\n";
+  Options.Out << (Line.Output == output_format::Json ? glanceJson(Page)
+                                                     : glanceText(Page));
+}
+
 void control_program::newCredential(const command_line &Line) const {
   if (!isCallerName(Line.Name))
     throw control_error(exit_code::Usage, "'" + printable(Line.Name) +
--- a/modules/bw_control/commands/control_program.h
+++ b/modules/bw_control/commands/control_program.h
@@ -46,6 +46,8 @@
   void replayAudit(const command_line &Line) const;
   void reportBurn(const command_line &Line) const;
   void newCredential(const command_line &Line) const;
+  void explain(const command_line &Line) const;
+  void top(const command_line &Line) const;
 
   operator_client client(const command_line &Line) const;
   /// Prints the text as a table, else the message.
--- a/modules/bw_control/commands/control_program_test.cpp
+++ b/modules/bw_control/commands/control_program_test.cpp
@@ -44,6 +44,8 @@
   CPPUNIT_TEST(newCredentialFitsItsDeclaration);
   CPPUNIT_TEST(credentialFileIsChecked);
   CPPUNIT_TEST(auditIsExportedAndReplayed);
+  CPPUNIT_TEST(explainsARequestFromLogs);
+  CPPUNIT_TEST(showsADaemonsMetrics);
   CPPUNIT_TEST(everyCommandIsCompleted);
   CPPUNIT_TEST_SUITE_END();
 
@@ -60,6 +62,44 @@
   }
   void tearDown() override { fs::remove_all(Folder); }
 
+  // Guards against an engineer who finds nothing where there is something, and
+  // who is not told what could not be read.
+  void explainsARequestFromLogs() {
+    write("h1.log",
+          "2026-08-08T15:12:15.100Z host=h1 BW1104 attempt_started request=r1 "
+          "server=s1\nno log line\n"
+          "2026-08-08T15:12:15.300Z host=h1 BW1106 request_answered request=r1 "
+          "server=s1 status=200 age_ms=200\n");
+    const std::string Log = (Folder / "h1.log").string();
+    CPPUNIT_ASSERT_EQUAL(0, runWithoutEndpoint({"explain", "r1", Log}));
+    CPPUNIT_ASSERT(Out.str().find("status 200 of server s1") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(Error.str().find("h1.log:2: not a log line") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(
+        0, runWithoutEndpoint({"explain", "r1", Log, "-o", "json"}));
+    CPPUNIT_ASSERT(Out.str().starts_with("{"));
+    CPPUNIT_ASSERT_EQUAL(2, runWithoutEndpoint({"explain", "r9", Log}));
+    CPPUNIT_ASSERT_EQUAL(
+        2, runWithoutEndpoint({"explain", "r1", Log + ".absent"}));
+  }
+
+  void showsADaemonsMetrics() {
+    Failure = call_result{};
+    Failure->Transfer.Status = transfer_status::Complete;
+    Failure->Response.Status = 200;
+    Failure->Response.Body =
+        "bramleywinch_requests_total{service=\"diary\",outcome=\"served\"} "
+        "12\nnonsense\n";
+    CPPUNIT_ASSERT_EQUAL(0, run({"top"}));
+    CPPUNIT_ASSERT(Out.str().find("diary") != std::string::npos &&
+                   Out.str().find("12") != std::string::npos);
+    CPPUNIT_ASSERT(Error.str().find("line 2") != std::string::npos);
+    Failure = call_result{};
+    CPPUNIT_ASSERT_EQUAL(5, run({"top"}));
+    CPPUNIT_ASSERT_EQUAL(1, runWithoutEndpoint({"top"}));
+  }
+
   void appliedDirectoryIsIdempotent() {
     write("a.yaml", Services);
     write("b.yml", Routes);
@@ -264,7 +304,8 @@
     runWithoutEndpoint({"completion", "bash"});
     for (const char *Command :
          {"apply", "diff", "get", "validate", "status", "drain", "audit",
-          "report", "credential", "completion", "export", "replay", "burn"})
+          "report", "credential", "completion", "export", "replay", "burn",
+          "explain", "top"})
       CPPUNIT_ASSERT_MESSAGE(Command,
                              Out.str().find(Command) != std::string::npos);
   }
