Count only servers that may get work for the floor

Cause: the number of servers that may be passed over followed from all that are listed; with leaving ones among them, during a release, more than half of the usable servers were passed over. Change: it follows from the servers that may get work; a test that failed first (6 of 10 were ejected instead of 3).

--- a/modules/bw_gateway/servers/server_pool.cpp
+++ b/modules/bw_gateway/servers/server_pool.cpp
@@ -137,14 +137,14 @@
 
 // Drops the candidates that fail far more often than the others, worst first,
 // as long as the floor allows it.
-void server_pool::passOverFailing(std::size_t ServiceSize) {
+void server_pool::passOverFailing(std::size_t Usable) {
   double Mean = 0;
   for (const server_candidate &Each : Candidates)
     Mean += Each.FailureShare / double(Candidates.size());
   const double Limit =
       std::max(Options.EjectAtFailureShare, WorseThanService * Mean);
   auto MayDrop = static_cast<std::size_t>(
-      std::floor((1 - Options.FloorShare.value()) * double(ServiceSize)));
+      std::floor((1 - Options.FloorShare.value()) * double(Usable)));
   std::sort(Candidates.begin(), Candidates.end(),
             [](const auto &Left, const auto &Right) {
               return Left.FailureShare < Right.FailureShare;
@@ -178,7 +178,8 @@
   collectUsable(Service, Excluded, IsLastChance, Now);
   if (Candidates.empty())
     return nullptr;
-  passOverFailing(Services.at(Service).size());
+  // Those already tried are usable too, but for this request.
+  passOverFailing(Candidates.size() + Excluded.size());
   entry &Chosen = Entries[Candidates[Options.Choose(Candidates, Random)].Index];
   ++Chosen.OwnInFlight;
   return &Chosen.Server;
--- a/modules/bw_gateway/servers/server_pool.h
+++ b/modules/bw_gateway/servers/server_pool.h
@@ -46,8 +46,8 @@
 
 struct server_pool_options {
   data_centre_id OwnDataCentre;
-  /// At least this share of a service's servers stays in use, however bad they
-  /// look.
+  /// At least this share of a service's servers that may get work stays in use,
+  /// however bad they look.
   ratio FloorShare{0.7};
   /// A server whose next request fails with this probability is passed over;
   /// above 1: none ever is.
@@ -149,7 +149,7 @@
   void addDoubtful(const backend_server_id &Server, double SharedWeight,
                    time_point Now);
   static double failureShare(const entry &Entry, time_point Now);
-  void passOverFailing(std::size_t ServiceSize);
+  void passOverFailing(std::size_t Usable);
   void setEjected(entry &Entry, bool Ejected, double FailureShare);
   using load_counter = std::uint32_t entry::*;
   void replaceLoad(peer_load &Load, load_counter Counter,
--- a/modules/bw_gateway/servers/server_pool_test.cpp
+++ b/modules/bw_gateway/servers/server_pool_test.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(silentHostsNoLongerCount);
   CPPUNIT_TEST(failuresOfOtherHostsKeepLastChancesAway);
   CPPUNIT_TEST(theFloorStaysInUse);
+  CPPUNIT_TEST(leavingServersDoNotCountForTheFloor);
   CPPUNIT_TEST(overloadOfAllEjectsNone);
   CPPUNIT_TEST(ownPathFailureDoesNotConvinceOthers);
   CPPUNIT_TEST(staysInTheDataCentreWhileThereIsRoom);
@@ -193,6 +194,25 @@
     CPPUNIT_ASSERT_EQUAL(3, Ejected);
   }
 
+  // Guards against a floor that leaving servers fill up: during a release, most
+  // of the servers that may still get work were passed over.
+  void leavingServersDoNotCountForTheFloor() {
+    std::vector<listed_server> Servers;
+    for (int Index = 0; Index < 30; ++Index) {
+      Servers.push_back(server(std::to_string(Index)));
+      Servers.back().Leaving = Index >= 10;
+    }
+    Pool.update(list(1, Servers), Now);
+    for (int Index = 0; Index < 6; ++Index)
+      for (int Count = 0; Count < 5; ++Count)
+        Pool.addEvidence(backend_server_id(std::to_string(Index)), 0, 1, Now);
+    CPPUNIT_ASSERT(Pool.take(Diary, {}, false, Now, Random) != nullptr);
+    int Ejected = 0;
+    for (const pool_change &Change : Pool.takeChanges())
+      Ejected += Change.Kind == pool_change::kind::Ejected ? 1 : 0;
+    CPPUNIT_ASSERT_EQUAL(3, Ejected);
+  }
+
   // Guards against taking capacity away when all servers are late at once.
   void overloadOfAllEjectsNone() {
     std::vector<listed_server> Servers;
