Try suspected servers with what can be repeated; let few hosts follow the store

Change: 15 in 100 repeatable requests try a suspect; two hosts of a data centre watch the configuration and tell the others; hosts that start ask the seeds before the store, and read the hosts as of some seconds ago.

--- a/modules/bw_gateway/engine/load_pattern_test.cpp
+++ b/modules/bw_gateway/engine/load_pattern_test.cpp
@@ -55,13 +55,16 @@
 struct policy {
   std::function<server_choice()> Choice;
   double EjectAt = server_pool_options().EjectAtFailureShare;
+  ratio TrialShare = server_pool_options().TrialShare;
 };
 
 constexpr double Never = 2;
 const policy Detecting{.Choice = [] { return chooseByExpectedDelay; }};
 const policy LeastOfTwo{.Choice = [] { return chooseLessLoadedOfTwo; },
-                        .EjectAt = Never};
-const policy RoundRobin{.Choice = makeRoundRobinChoice, .EjectAt = Never};
+                        .EjectAt = Never,
+                        .TrialShare = ratio(0)};
+const policy RoundRobin{
+    .Choice = makeRoundRobinChoice, .EjectAt = Never, .TrialShare = ratio(0)};
 
 // Runs the engines, the servers with their slots and queues, and the exchange
 // of reports: every 250 ms, of failures every 50 ms. Nothing here knows what
@@ -97,6 +100,7 @@
           gateway_engine_options{.Seed = Random.next(),
                                  .Pool = {.OwnDataCentre = placeOf(Host),
                                           .EjectAtFailureShare = Policy.EjectAt,
+                                          .TrialShare = Policy.TrialShare,
                                           .Choose = Policy.Choice()}}));
       handle(Host, configuration_read{Configuration});
       handle(Host, List);
--- a/modules/bw_gateway/hosts/host_directory.cpp
+++ b/modules/bw_gateway/hosts/host_directory.cpp
@@ -116,6 +116,11 @@
   return Rank;
 }
 
+bool host_directory::followsStore(time_point Now) const {
+  return ownRank(Now) < Options.ListReaders ||
+         (ReadSelfAt && Now - *ReadSelfAt < Options.FollowAfterRead);
+}
+
 time_point host_directory::listConfirmedAt(time_point Now) const {
   time_point Newest = OwnListReadAt;
   for (const auto &[Name, Entry] : Hosts)
--- a/modules/bw_gateway/hosts/host_directory.h
+++ b/modules/bw_gateway/hosts/host_directory.h
@@ -20,6 +20,9 @@
   duration SilentAfter = std::chrono::milliseconds(2500);
   /// A host that is listed but silent for this long is gone for good.
   duration GoneAfter = std::chrono::seconds(60);
+  /// A host that read the list itself goes on to follow the store for this
+  /// long.
+  duration FollowAfterRead = std::chrono::seconds(3);
   /// Most hosts that one report goes to; among more, random ones get it.
   std::size_t MaxTargets = 24;
   /// Hosts of a data centre that read the server list for all of it; two, so
@@ -53,11 +56,18 @@
   void heard(const host_id &Host, const host_state &State, time_point Now);
   /// What this host itself has.
   void ownState(const host_state &State, time_point Now);
+  /// This host has read the list from the store.
+  void listRead(time_point Now) { ReadSelfAt = Now; }
 
   /// Where reports go, without this host.
   std::vector<gateway_host> targetsNear(random_source &Random) const;
   std::vector<gateway_host> targetsFar(random_source &Random) const;
 
+  /// This host follows the store for its data centre: one of the first live
+  /// hosts, or one that had to read the list itself a short time ago, since
+  /// those did not.
+  bool followsStore(time_point Now) const;
+
   /// This host tells other data centres of the load of its own: the first live
   /// host does it for all.
   bool isSummarizer(time_point Now) const { return ownRank(Now) == 0; }
@@ -100,6 +110,7 @@
   std::map<host_id, entry> Hosts;
   host_state Own;
   time_point OwnListReadAt{};
+  std::optional<time_point> ReadSelfAt;
 };
 
 } // namespace bw
--- a/modules/bw_gateway/hosts/host_directory_test.cpp
+++ b/modules/bw_gateway/hosts/host_directory_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(reportsOfALargeFleetAreLimited);
   CPPUNIT_TEST(firstHostsReadTheListForTheirDataCentre);
   CPPUNIT_TEST(othersReadWhenTheReadersFallSilent);
+  CPPUNIT_TEST(someHostsFollowTheStoreForAll);
   CPPUNIT_TEST(aReaderWithADifferentListDoesNotCount);
   CPPUNIT_TEST(findsWhoHasNewerNews);
   CPPUNIT_TEST(prefersANearHostForTheList);
@@ -95,6 +96,25 @@
     CPPUNIT_ASSERT(Next > Now + 1s && Next <= Now + 1500ms);
   }
 
+  // Guards against a watch of the configuration by every host, and against a
+  // data centre in which nobody watches, since the store turns the first hosts
+  // away.
+  void someHostsFollowTheStoreForAll() {
+    host_directory Second = directory("a2");
+    host_directory Last = directory("a4");
+    hearAll(Second, state(1, 1, 7));
+    hearAll(Last, state(1, 1, 7));
+    CPPUNIT_ASSERT(Second.followsStore(Now) && !Last.followsStore(Now));
+    Last.listRead(Now);
+    CPPUNIT_ASSERT(Last.followsStore(Now));
+    Now += 4s;
+    hearAll(Last, state(1, 1, 7));
+    CPPUNIT_ASSERT(!Last.followsStore(Now));
+    // Nobody else is heard: this host is the first.
+    Now += 4s;
+    CPPUNIT_ASSERT(Last.followsStore(Now));
+  }
+
   // Guards against a host that trusts a list which it does not have.
   void aReaderWithADifferentListDoesNotCount() {
     host_directory Hosts = directory("a4");
--- a/modules/bw_gateway/servers/server_pool.cpp
+++ b/modules/bw_gateway/servers/server_pool.cpp
@@ -16,6 +16,8 @@
 // A server is passed over only if it fails more often than its service by this
 // factor, so that an overload of all servers ejects none.
 constexpr double WorseThanService = 1.3;
+// Without outcomes a server's share is 0.04; from twice that on it is suspect.
+constexpr double SuspectFailureShare = 0.08;
 // Weight, as a failure of the server, of one that may be the path's.
 constexpr double PathFailureWeight = 0.25;
 constexpr double SlownessWeight = 0.5;
@@ -135,6 +137,22 @@
   return std::max(Entry.Shared.failureShare(Now), Entry.Own.failureShare(Now));
 }
 
+std::optional<std::uint32_t>
+server_pool::chooseTrial(random_source &Random) const {
+  const auto IsSuspect = [](const server_candidate &Each) {
+    return Each.FailureShare >= SuspectFailureShare;
+  };
+  const auto Count = static_cast<std::uint64_t>(
+      std::count_if(Candidates.begin(), Candidates.end(), IsSuspect));
+  if (Count == 0)
+    return std::nullopt;
+  std::uint64_t Left = Random.below(Count);
+  for (const server_candidate &Each : Candidates)
+    if (IsSuspect(Each) && Left-- == 0)
+      return Each.Index;
+  return std::nullopt;
+}
+
 // Drops the candidates that fail far more often than the others, worst first,
 // as long as the floor allows it.
 void server_pool::passOverFailing(std::size_t Usable) {
@@ -178,6 +196,11 @@
   collectUsable(Service, Excluded, IsLastChance, Now);
   if (Candidates.empty())
     return nullptr;
+  if (!IsLastChance && Random.chance(Options.TrialShare.value()))
+    if (const auto Trial = chooseTrial(Random)) {
+      ++Entries[*Trial].OwnInFlight;
+      return &Entries[*Trial].Server;
+    }
   // Those already tried are usable too, but for this request.
   passOverFailing(Candidates.size() + Excluded.size());
   entry &Chosen = Entries[Candidates[Options.Choose(Candidates, Random)].Index];
--- a/modules/bw_gateway/servers/server_pool.h
+++ b/modules/bw_gateway/servers/server_pool.h
@@ -52,6 +52,10 @@
   /// A server whose next request fails with this probability is passed over;
   /// above 1: none ever is.
   double EjectAtFailureShare = 0.45;
+  /// Share of the requests that can be repeated that try a server which may be
+  /// failing: its recovery is seen without losing a request, and a server that
+  /// is wrongly suspected keeps getting work.
+  ratio TrialShare{0.15};
   server_choice Choose = chooseByExpectedDelay;
 };
 
@@ -148,6 +152,8 @@
                      bool IsLastChance, time_point Now);
   void addDoubtful(const backend_server_id &Server, double SharedWeight,
                    time_point Now);
+  /// A candidate to try, or none for this request.
+  std::optional<std::uint32_t> chooseTrial(random_source &Random) const;
   static double failureShare(const entry &Entry, time_point Now);
   void passOverFailing(std::size_t Usable);
   void setEjected(entry &Entry, bool Ejected, double FailureShare);
--- a/modules/bw_gateway/servers/server_pool_test.cpp
+++ b/modules/bw_gateway/servers/server_pool_test.cpp
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(countsRequestsOfOtherDataCentres);
   CPPUNIT_TEST(silentHostsNoLongerCount);
   CPPUNIT_TEST(failuresOfOtherHostsKeepLastChancesAway);
+  CPPUNIT_TEST(suspectsAreTriedByWhatCanBeRepeated);
   CPPUNIT_TEST(theFloorStaysInUse);
   CPPUNIT_TEST(leavingServersDoNotCountForTheFloor);
   CPPUNIT_TEST(overloadOfAllEjectsNone);
@@ -178,6 +179,31 @@
     }
   }
 
+  // Guards against servers that chance failures keep without work, although
+  // they are well. Grown filing site, trouble-1: FLOOR at 4.0 s, 7 of 23 sound
+  // servers got nothing for 2 s.
+  void suspectsAreTriedByWhatCanBeRepeated() {
+    std::vector<listed_server> Servers;
+    for (int Index = 0; Index < 10; ++Index)
+      Servers.push_back(server(std::to_string(Index)));
+    Pool.update(list(1, Servers), Now);
+    for (int Count = 0; Count < 3; ++Count)
+      Pool.addEvidence(backend_server_id("0"), 0, 1, Now);
+    int Tried = 0;
+    for (int Count = 0; Count < 100; ++Count) {
+      for (const bool IsLastChance : {false, true}) {
+        const listed_server *Taken =
+            Pool.take(Diary, {}, IsLastChance, Now, Random);
+        if (Taken->Server == backend_server_id("0")) {
+          CPPUNIT_ASSERT(!IsLastChance);
+          ++Tried;
+        }
+        Pool.release(Taken->Server);
+      }
+    }
+    CPPUNIT_ASSERT(Tried >= 5 && Tried <= 30);
+  }
+
   // Guards against ejecting more servers than the operators' floor allows.
   void theFloorStaysInUse() {
     std::vector<listed_server> Servers;
--- a/modules/bw_gateway_daemon/follow/configuration_follower.cpp
+++ b/modules/bw_gateway_daemon/follow/configuration_follower.cpp
@@ -7,8 +7,9 @@
 
 configuration_follower::configuration_follower(
     runtime_clock &Clock, configuration_follower_options GivenOptions)
-    : service(std::string(ServiceName)), Options(std::move(GivenOptions)),
-      Random(Options.Seed), Thread(Clock, [this] { return round(); }) {}
+    : service(std::string(ServiceName)), Clock(Clock),
+      Options(std::move(GivenOptions)), Random(Options.Seed),
+      Thread(Clock, [this] { return round(); }) {}
 
 void configuration_follower::attach(service_registry &Registry) {
   State = &Registry.find<platform_state>(platform_state::ServiceName);
@@ -28,7 +29,23 @@
          std::chrono::milliseconds(Random.below(Span + 1));
 }
 
+bool configuration_follower::isOthersDuty() {
+  return State->configuration() &&
+         State->withHosts([&](host_directory &Hosts, random_source &) {
+           return !Hosts.followsStore(Clock.now());
+         });
+}
+
 duration configuration_follower::round() {
+  if (IsFirstRound && Options.FirstReadDelay > duration::zero()) {
+    IsFirstRound = false;
+    return Options.FirstReadDelay;
+  }
+  if (isOthersDuty()) {
+    // What changes meanwhile comes from other hosts.
+    Watched.reset();
+    return Options.IdlePause;
+  }
   configuration_watch Result =
       Watched ? Options.Source.WatchConfiguration(*Watched, watchTime())
               : Options.Source.ReadConfiguration();
--- a/modules/bw_gateway_daemon/follow/configuration_follower.h
+++ b/modules/bw_gateway_daemon/follow/configuration_follower.h
@@ -16,12 +16,17 @@
   std::chrono::milliseconds ShortestWatch{4'000};
   std::chrono::milliseconds LongestWatch{15'000};
   std::uint64_t Seed = 1;
+  /// Other hosts are asked first; set if there are any to ask.
+  duration FirstReadDelay{};
+  /// A host that does not follow the store looks again after this time whether
+  /// it has to.
+  duration IdlePause = std::chrono::milliseconds(400);
   /// Pause after a call that was not answered.
   duration RetryPause = std::chrono::milliseconds(250);
 };
 
 /// Duty *configuration*: follows the operators' configuration in the store by
-/// a watch.
+/// a watch, if this host is one that does so for its data centre.
 class configuration_follower : public service {
 public:
   static constexpr std::string_view ServiceName = "configuration";
@@ -35,14 +40,17 @@
 
 private:
   duration round();
+  bool isOthersDuty();
   std::chrono::milliseconds watchTime();
 
+  runtime_clock &Clock;
   configuration_follower_options Options;
   random_source Random;
   platform_state *State = nullptr;
   /// Set while the watch can go on from there.
   std::optional<store_revision> Watched;
   bool IsAvailable = true;
+  bool IsFirstRound = true;
   follower_thread Thread;
 };
 
--- a/modules/bw_gateway_daemon/follow/followers_test.cpp
+++ b/modules/bw_gateway_daemon/follow/followers_test.cpp
@@ -207,21 +207,22 @@
     std::atomic<int> Announced = 0;
     std::atomic<int> Reads = 0;
     Kernel->add<host_follower>(
-        *Clock, host_follower_options{
-                    .Source = {.AnnounceHost =
-                                   [&](const gateway_host &Host) {
-                                     CPPUNIT_ASSERT(Host.Host == host_id("h1"));
-                                     ++Announced;
-                                     return true;
-                                   },
-                               .ReadHosts = [&](bool)
-                                   -> std::optional<std::vector<gateway_host>> {
-                                 ++Reads;
-                                 return std::vector<gateway_host>{};
-                               }},
-                    .Interval = std::chrono::milliseconds(1),
-                    .FirstPause = std::chrono::milliseconds(1),
-                    .RetryPause = std::chrono::milliseconds(1)});
+        *Clock,
+        host_follower_options{
+            .Source = {
+                .AnnounceHost =
+                    [&](const gateway_host &Host) {
+                      CPPUNIT_ASSERT(Host.Host == host_id("h1"));
+                      ++Announced;
+                      return true;
+                    },
+                .ReadHosts = [&]() -> std::optional<std::vector<gateway_host>> {
+                  ++Reads;
+                  return std::vector<gateway_host>{};
+                }},
+            .Interval = std::chrono::milliseconds(1),
+            .FirstInterval = std::chrono::milliseconds(1),
+            .RetryPause = std::chrono::milliseconds(1)});
     Kernel->start();
     const time_point Limit = Clock->now() + WaitLimit;
     while (Announced < 2 && Clock->now() < Limit)
--- a/modules/bw_gateway_daemon/follow/host_follower.cpp
+++ b/modules/bw_gateway_daemon/follow/host_follower.cpp
@@ -23,27 +23,21 @@
 }
 
 duration host_follower::round() {
-  if (!IsAnnounced) {
-    if (!Options.Source.AnnounceHost(State->self()))
-      return Options.RetryPause;
-    IsAnnounced = true;
-    return Options.FirstPause;
-  }
-  const auto Hosts = Options.Source.ReadHosts(!IsFirstRead);
+  const auto Hosts = Options.Source.ReadHosts();
   if (!Hosts)
     return Options.RetryPause;
-  IsFirstRead = false;
   bool IsListed = false;
   for (const gateway_host &Each : *Hosts)
     IsListed = IsListed || Each == State->self();
-  ReadsWithoutSelf = IsListed ? 0 : ReadsWithoutSelf + 1;
-  // One old reading proves nothing; later, others removed this host while it
-  // was silent.
-  if (ReadsWithoutSelf > 1)
-    IsAnnounced = false;
+  if (!IsListed && --ReadingsUntilAnnounced < 0) {
+    if (!Options.Source.AnnounceHost(State->self()))
+      return Options.RetryPause;
+    ReadingsUntilAnnounced = Options.FirstReadings;
+  }
   State->offerHosts(*Hosts);
   removeGone();
-  return Options.Interval;
+  return ++Readings <= Options.FirstReadings ? Options.FirstInterval
+                                             : Options.Interval;
 }
 
 void host_follower::removeGone() {
--- a/modules/bw_gateway_daemon/follow/host_follower.h
+++ b/modules/bw_gateway_daemon/follow/host_follower.h
@@ -9,10 +9,13 @@
 
 struct host_follower_options {
   platform_source Source;
-  /// Between two readings of the hosts; they cost a tenth of a usual call.
+  /// Between two readings of the hosts; they cost a tenth of a usual call,
+  /// since they may be some seconds old.
   duration Interval = std::chrono::seconds(5);
-  /// All hosts start together; after this time the list shows most of them.
-  duration FirstPause = std::chrono::milliseconds(1000);
+  /// The same after the start, for the first readings: all hosts start
+  /// together.
+  duration FirstInterval = std::chrono::milliseconds(1000);
+  int FirstReadings = 4;
   duration RetryPause = std::chrono::milliseconds(500);
 };
 
@@ -35,9 +38,10 @@
   runtime_clock &Clock;
   host_follower_options Options;
   platform_state *State = nullptr;
-  bool IsAnnounced = false;
-  bool IsFirstRead = true;
-  int ReadsWithoutSelf = 0;
+  int Readings = 0;
+  /// A host that is not listed announces itself, then waits for old readings
+  /// to pass.
+  int ReadingsUntilAnnounced = 0;
   follower_thread Thread;
 };
 
--- a/modules/bw_gateway_daemon/follow/platform_source.h
+++ b/modules/bw_gateway_daemon/follow/platform_source.h
@@ -69,10 +69,10 @@
   /// Makes this host known, also when it already is. False: not done.
   std::function<bool(const gateway_host &)> AnnounceHost =
       [](const gateway_host &) { return false; };
-  /// Nothing when the store did not answer. The hosts of some seconds ago cost
-  /// less than those of now.
-  std::function<std::optional<std::vector<gateway_host>>(bool MayBeOld)>
-      ReadHosts = [](bool) { return std::nullopt; };
+  /// Nothing when the store did not answer. May be some seconds old.
+  std::function<std::optional<std::vector<gateway_host>>()> ReadHosts = [] {
+    return std::nullopt;
+  };
   /// Removes a host that is gone. False: not done.
   std::function<bool(const host_id &)> RemoveHost = [](const host_id &) {
     return false;
--- a/modules/bw_gateway_daemon/follow/platform_state.cpp
+++ b/modules/bw_gateway_daemon/follow/platform_state.cpp
@@ -54,13 +54,23 @@
                 .events();
 }
 
-void platform_state::offerServers(servers_listed Offered, duration Age) {
+void platform_state::offerServersRead(servers_listed Offered) {
   const std::lock_guard Guard(Mutex);
   const time_point Now = Clock.now();
-  const time_point ReadAt = Now - Age;
+  Directory.listRead(Now);
+  takeServers(std::move(Offered), Now);
+}
+
+void platform_state::offerServers(servers_listed Offered, duration Age) {
+  const std::lock_guard Guard(Mutex);
+  takeServers(std::move(Offered), Clock.now() - Age);
+}
+
+void platform_state::takeServers(servers_listed Offered, time_point ReadAt) {
   if (Servers && Offered.Revision < Servers->Revision)
     return;
   if (Servers) {
+    const time_point Now = Clock.now();
     Directory.ownState(ownStateLocked(), Now);
     Offered.IsAfterOutage =
         ReadAt - Directory.listConfirmedAt(Now) > Options.OutageAfter;
@@ -79,6 +89,7 @@
     return;
   Configuration = std::move(Offered);
   Decide->push(configuration_read{Configuration});
+  OnConfiguration();
 }
 
 void platform_state::offerHosts(const std::vector<gateway_host> &Offered) {
--- a/modules/bw_gateway_daemon/follow/platform_state.h
+++ b/modules/bw_gateway_daemon/follow/platform_state.h
@@ -5,6 +5,7 @@
 #include "bw_gateway/hosts/host_directory.h"
 #include "bw_gateway_daemon/follow/platform_source.h"
 
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -36,11 +37,18 @@
   void start() override {}
   void stop() override {}
 
-  /// Age: since the store was read, if another host did it.
-  void offerServers(servers_listed Servers, duration Age = duration::zero());
+  /// A list that this host read from the store.
+  void offerServersRead(servers_listed Servers);
+  /// A list of another host. Age: since it was read from the store.
+  void offerServers(servers_listed Servers, duration Age);
   void offerConfiguration(
       std::shared_ptr<const gateway_configuration> Configuration);
   void offerHosts(const std::vector<gateway_host> &Hosts);
+  /// Called, under the lock, after a newer configuration was taken; must not
+  /// block. Set it before the start.
+  void setOnConfiguration(std::function<void()> Hook) {
+    OnConfiguration = std::move(Hook);
+  }
   void heard(const host_id &Host, const host_state &State);
 
   const gateway_host &self() const { return Options.Self; }
@@ -59,10 +67,12 @@
 
 private:
   host_state ownStateLocked() const;
+  void takeServers(servers_listed Servers, time_point ReadAt);
 
   runtime_clock &Clock;
   platform_state_options Options;
   gateway_event_ring *Decide = nullptr;
+  std::function<void()> OnConfiguration = [] {};
   mutable std::mutex Mutex;
   random_source Random;
   host_directory Directory;
--- a/modules/bw_gateway_daemon/follow/server_follower.cpp
+++ b/modules/bw_gateway_daemon/follow/server_follower.cpp
@@ -33,6 +33,10 @@
 }
 
 duration server_follower::round() {
+  if (IsFirstRound && Options.FirstReadDelay > duration::zero()) {
+    IsFirstRound = false;
+    return Options.FirstReadDelay;
+  }
   // Others may have read the list since this pause was chosen.
   const duration Wait = untilNextRead();
   if (Wait > Options.ShortestPause)
@@ -66,7 +70,7 @@
   Known.clear();
   for (const listed_server &Each : Reading->List.Servers)
     Known.emplace(Each.Server, Each);
-  State->offerServers(std::move(Reading->List));
+  State->offerServersRead(std::move(Reading->List));
   return true;
 }
 
@@ -84,6 +88,6 @@
   servers_listed List{.Revision = Changes.Revision, .Servers = {}};
   for (const auto &[Name, Server] : Known)
     List.Servers.push_back(Server);
-  State->offerServers(std::move(List));
+  State->offerServersRead(std::move(List));
   return true;
 }
--- a/modules/bw_gateway_daemon/follow/server_follower.h
+++ b/modules/bw_gateway_daemon/follow/server_follower.h
@@ -12,6 +12,8 @@
 
 struct server_follower_options {
   platform_source Source;
+  /// Other hosts are asked for the list first; set if there are any to ask.
+  duration FirstReadDelay{};
   /// Pause after a call that was not answered.
   duration RetryPause = std::chrono::milliseconds(250);
   /// A list that takes several calls is read in full this often, and by its
@@ -51,6 +53,7 @@
   std::uint32_t CallsOfLastRead = 1;
   time_point LastFullRead{};
   bool IsAvailable = true;
+  bool IsFirstRound = true;
   follower_thread Thread;
 };
 
--- a/modules/bw_gateway_daemon/peers/exchange_fetch_service.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_fetch_service.cpp
@@ -57,8 +57,11 @@
 void exchange_fetch_service::run() {
   while (!Orders.isClosed()) {
     const bool AsksSeeds = !Options.Seeds.empty() && isPoor();
-    const auto Order = Orders.pop(AsksSeeds ? Clock.now() + Options.SeedInterval
-                                            : time_point::max());
+    const duration Pause = Tries < Options.FirstTries
+                               ? Options.FirstSeedInterval
+                               : Options.SeedInterval;
+    const auto Order =
+        Orders.pop(AsksSeeds ? Clock.now() + Pause : time_point::max());
     if (Order) {
       fetch(*Order);
       IsOrdered[std::size_t(Order->Wanted)] = false;
@@ -69,10 +72,13 @@
 }
 
 void exchange_fetch_service::askSeeds() {
+  ++Tries;
   const gateway_host &Seed = Options.Seeds[NextSeed++ % Options.Seeds.size()];
-  if (!fetch({.Wanted = exchange_item::Configuration, .From = Seed}))
+  if (!State->configuration() &&
+      !fetch({.Wanted = exchange_item::Configuration, .From = Seed}))
     return;
-  fetch({.Wanted = exchange_item::Servers, .From = Seed});
+  if (!State->servers())
+    fetch({.Wanted = exchange_item::Servers, .From = Seed});
   if (State->hosts().empty())
     fetch({.Wanted = exchange_item::Hosts, .From = Seed});
 }
--- a/modules/bw_gateway_daemon/peers/exchange_fetch_service.h
+++ b/modules/bw_gateway_daemon/peers/exchange_fetch_service.h
@@ -30,6 +30,9 @@
   std::vector<gateway_host> Seeds;
   /// Between two tries to learn from the seeds.
   duration SeedInterval = std::chrono::milliseconds(500);
+  /// The same for the first tries after the start.
+  duration FirstSeedInterval = std::chrono::milliseconds(80);
+  int FirstTries = 6;
 };
 
 /// Duty *fetch*: asks other hosts for their configuration and server list.
@@ -60,6 +63,7 @@
   bounded_ring<exchange_order> Orders;
   std::array<std::atomic<bool>, 3> IsOrdered{};
   std::size_t NextSeed = 0;
+  int Tries = 0;
   http_call_session Session;
   std::thread Thread;
 };
--- a/modules/bw_gateway_daemon/peers/peer_report_service.cpp
+++ b/modules/bw_gateway_daemon/peers/peer_report_service.cpp
@@ -17,8 +17,8 @@
 
 // A report is about 40 bytes for each server with requests.
 constexpr std::size_t LargestReport = 60'000;
-// The store tells all hosts of a change within some 50 ms; only one that the
-// store does not reach is still behind after this.
+// The store tells those that follow it of a change within some 50 ms; only one
+// that it does not reach is still behind after this.
 constexpr duration PatienceWithStore = std::chrono::milliseconds(300);
 
 } // namespace
@@ -43,6 +43,10 @@
   Decide = &Registry.find<gateway_event_sink>(gateway_event_sink::ServiceName)
                 .events();
   State = &Registry.find<platform_state>(platform_state::ServiceName);
+  // Hosts that do not follow the store themselves wait for this news.
+  State->setOnConfiguration([this] {
+    Reports.tryPush({.DataCentreLoad = {}, .Servers = {}, .IsNotice = true});
+  });
   Fetch = &Registry.find<exchange_fetch_service>(
       exchange_fetch_service::ServiceName);
 }
@@ -81,23 +85,23 @@
 }
 
 void peer_report_service::send(const own_report &Report) {
-  host_report Message{.Observations = {.Host = State->self().Host,
-                                       .HasLoad = true,
-                                       .Servers = Report.Servers},
-                      .Summary = {},
-                      .State = State->ownState()};
+  host_report Message;
+  Message.Observations.Host = State->self().Host;
+  Message.Observations.HasLoad = !Report.IsNotice;
+  Message.Observations.Servers = Report.Servers;
+  Message.State = State->ownState();
   std::vector<gateway_host> Near;
   std::vector<gateway_host> Far;
   State->withHosts([&](host_directory &Hosts, random_source &Chance) {
     Near = Hosts.targetsNear(Chance);
-    if (Report.IsUrgent)
+    if (Report.IsUrgent || Report.IsNotice)
       Far = Hosts.targetsFar(Chance);
     Summarizer = Hosts.isSummarizer(Clock.now());
     return 0;
   });
   LastSent = Clock.now();
   sendTo(Near, encodeReport(Message));
-  if (Report.IsUrgent) {
+  if (!Far.empty()) {
     // Bytes between data centres are costly: only failures are told there.
     Message.Observations.HasLoad = false;
     std::erase_if(Message.Observations.Servers,
@@ -109,11 +113,11 @@
 }
 
 void peer_report_service::sendSummary(const std::vector<server_report> &Load) {
-  const host_report Message{
-      .Observations = {.Host = State->self().Host, .Servers = {}},
-      .Summary =
-          load_summary{.DataCentre = State->self().DataCentre, .Servers = Load},
-      .State = State->ownState()};
+  host_report Message;
+  Message.Observations.Host = State->self().Host;
+  Message.Summary =
+      load_summary{.DataCentre = State->self().DataCentre, .Servers = Load};
+  Message.State = State->ownState();
   sendTo(State->withHosts([](host_directory &Hosts, random_source &Chance) {
     return Hosts.targetsFar(Chance);
   }),
@@ -169,9 +173,10 @@
     const auto Holder = Hosts.newerConfiguration(Now);
     if (!Holder) {
       BehindSince.reset();
-    } else if (!BehindSince) {
+    } else if (!BehindSince && Hosts.followsStore(Now)) {
       BehindSince = Now;
-    } else if (Now - *BehindSince > PatienceWithStore) {
+    } else if (!Hosts.followsStore(Now) ||
+               Now - *BehindSince > PatienceWithStore) {
       Fetch->order({.Wanted = exchange_item::Configuration, .From = *Holder});
     }
     return 0;
--- a/modules/bw_gateway_daemon/peers/peer_report_service.h
+++ b/modules/bw_gateway_daemon/peers/peer_report_service.h
@@ -21,6 +21,8 @@
   std::vector<server_report> Servers;
   /// It holds a failure that hosts of all data centres should know of.
   bool IsUrgent = false;
+  /// It only tells the state of this host, to all data centres.
+  bool IsNotice = false;
 };
 
 using own_report_ring = bounded_ring<own_report>;
