Report an ejection once; tell a request's story by its own hosts

Change: a server counts as back only when its share has fallen to 0.6 of the limit; the story keeps to the hosts that handled the request.

--- a/modules/bw_gateway/servers/server_pool.cpp
+++ b/modules/bw_gateway/servers/server_pool.cpp
@@ -18,6 +18,9 @@
 constexpr double WorseThanService = 1.3;
 // Without outcomes a server's share is 0.04; from twice that on it is suspect.
 constexpr double SuspectFailureShare = 0.08;
+// A server counts as back when its share has fallen to this part of the limit:
+// at the floor, servers take turns in being passed over with every request.
+constexpr double ReturnBelow = 0.6;
 // Weight, as a failure of the server, of one that may be the path's.
 constexpr double PathFailureWeight = 0.25;
 constexpr double SlownessWeight = 0.5;
@@ -175,7 +178,8 @@
     Candidates.pop_back();
   }
   for (const server_candidate &Kept : Candidates)
-    setEjected(Entries[Kept.Index], false, Kept.FailureShare);
+    if (Kept.FailureShare < ReturnBelow * Options.EjectAtFailureShare)
+      setEjected(Entries[Kept.Index], false, Kept.FailureShare);
 }
 
 void server_pool::setEjected(entry &Entry, bool Ejected, double FailureShare) {
--- a/modules/bw_gateway/servers/server_pool_test.cpp
+++ b/modules/bw_gateway/servers/server_pool_test.cpp
@@ -48,6 +48,7 @@
   CPPUNIT_TEST(suspectsAreTriedByWhatCanBeRepeated);
   CPPUNIT_TEST(theFloorStaysInUse);
   CPPUNIT_TEST(leavingServersDoNotCountForTheFloor);
+  CPPUNIT_TEST(turnsAtTheFloorAreNoChanges);
   CPPUNIT_TEST(overloadOfAllEjectsNone);
   CPPUNIT_TEST(ownPathFailureDoesNotConvinceOthers);
   CPPUNIT_TEST(staysInTheDataCentreWhileThereIsRoom);
@@ -239,6 +240,21 @@
     CPPUNIT_ASSERT_EQUAL(3, Ejected);
   }
 
+  // Guards against a log that fills up with servers that are passed over in
+  // turn: a rough day wrote 49,000 lines, most of them of this kind.
+  void turnsAtTheFloorAreNoChanges() {
+    std::vector<listed_server> Servers;
+    for (int Index = 0; Index < 10; ++Index)
+      Servers.push_back(server(std::to_string(Index)));
+    Pool.update(list(1, Servers), Now);
+    for (int Round = 0; Round < 100; ++Round) {
+      Now += 10ms;
+      Pool.addEvidence(backend_server_id(std::to_string(Round % 5)), 0, 1, Now);
+      Pool.release(Pool.take(Diary, {}, true, Now, Random)->Server);
+    }
+    CPPUNIT_ASSERT(Pool.takeChanges().size() <= 5);
+  }
+
   // Guards against taking capacity away when all servers are late at once.
   void overloadOfAllEjectsNone() {
     std::vector<listed_server> Servers;
--- a/modules/bw_reports/logs/request_story.cpp
+++ b/modules/bw_reports/logs/request_story.cpp
@@ -83,8 +83,9 @@
   for (const log_record &Each : Others) {
     const double At = unixSeconds(Each).value_or(0);
     const std::string Server = Each.field("server");
-    const bool IsAbout =
-        Server.empty() ? Hosts.contains(Each.Host) : Servers.contains(Server);
+    // What other hosts believed meanwhile decided nothing here.
+    const bool IsAbout = Hosts.contains(Each.Host) &&
+                         (Server.empty() || Servers.contains(Server));
     if (IsAbout && At >= From && At <= To)
       Result.push_back(Each);
   }
--- a/modules/bw_reports/logs/request_story.h
+++ b/modules/bw_reports/logs/request_story.h
@@ -28,8 +28,8 @@
 
   /// The request's own lines.
   std::vector<log_record> steps() const;
-  /// Lines about the servers that it was sent to and about the hosts that
-  /// handled it, from ten seconds before its first line to its last.
+  /// What the hosts that handled it said of themselves and of the servers that
+  /// it was sent to, from ten seconds before its first line to its last.
   std::vector<log_record> circumstances() const;
   const std::vector<unreadable_line> &unreadable() const { return Unreadable; }
 
--- a/modules/bw_reports/reports_test.cpp
+++ b/modules/bw_reports/reports_test.cpp
@@ -15,6 +15,7 @@
 this is no line of a daemon
   12.5 h1 2026-08-08T15:12:15.150Z host=h1 BW1105 attempt_failed request=r1 server=s1 outcome=broken
 2026-08-08T15:12:15.160Z host=h1 BW1104 attempt_started request=r1 service=diary server=s2 attempt=2 cause=retry
+2026-08-08T15:12:15.165Z host=h2 BW1200 backend_server_ejected server=s1 service=diary
 2026-08-08T15:12:15.170Z host=h1 BW1200 backend_server_ejected server=s9 service=diary
 2026-08-08T15:12:15.300Z host=h1 BW1106 request_answered request=r1 server=s2 status=200 age_ms=200
 2026-08-08T15:12:15.400Z host=h1 BW1100 request_refused request=other service=diary reason="not executed" age_ms=200
