--- a/modules/bw_forward/service/forward_service.cpp
+++ b/modules/bw_forward/service/forward_service.cpp
@@ -268,7 +268,7 @@
     const time_point Now = Clock.now();
     while (!Found->second.empty()) {
       // Closing removes it from the list too; the newest is used first.
-      const auto Connection = Found->second.back();
+      auto Connection = Found->second.back();
       if (Connection->isUsable(Now)) {
         Found->second.pop_back();
         return Connection;
--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -286,8 +286,11 @@
   return startAttempt(Number, Request, request_step::Retried, Now, Out);
 }
 
-void gateway_engine::relay(request_map::iterator Found, held_answer Answer,
-                           time_point Now, commands &Out) {
+void gateway_engine::relay(request_map::iterator Found,
+                           const held_answer &Given, time_point Now,
+                           commands &Out) {
+  // The request may hold the answer itself, and ends here.
+  const held_answer Answer = Given;
   request_state &Request = Found->second;
   for (auto Each = Request.Open.begin(); Each != Request.Open.end();) {
     if (Each->Number == Answer.Attempt) {
--- a/modules/bw_gateway/engine/gateway_engine.h
+++ b/modules/bw_gateway/engine/gateway_engine.h
@@ -137,8 +137,8 @@
              attempt_outcome Outcome, time_point Now, commands &Out);
   bool mayBeSentAgain(const request_state &Request,
                       attempt_outcome Outcome) const;
-  void relay(request_map::iterator Found, held_answer Answer, time_point Now,
-             commands &Out);
+  void relay(request_map::iterator Found, const held_answer &Given,
+             time_point Now, commands &Out);
   void refuse(request_map::iterator Found, refusal_reason Reason,
               time_point Now, commands &Out);
   void giveUp(request_map::iterator Found, time_point Now, commands &Out);
--- a/modules/bw_gateway/hosts/host_directory_test.cpp
+++ b/modules/bw_gateway/hosts/host_directory_test.cpp
@@ -57,9 +57,9 @@
     host_directory Hosts({.Self = host_id("h0"),
                           .DataCentre = data_centre_id("a"),
                           .MaxTargets = 8});
-    std::vector<gateway_host> Many;
-    for (int Index = 0; Index < 200; ++Index)
-      Many.push_back(host("h" + std::to_string(Index), "a"));
+    std::vector<gateway_host> Many(200);
+    for (std::size_t Index = 0; Index < Many.size(); ++Index)
+      Many[Index] = host("h" + std::to_string(Index), "a");
     Hosts.listed(Many, Now);
     std::map<host_id, int> Counts;
     for (int Round = 0; Round < 200; ++Round) {
--- a/modules/bw_gateway/servers/server_pool_test.cpp
+++ b/modules/bw_gateway/servers/server_pool_test.cpp
@@ -26,6 +26,13 @@
           .Start = server_start(1)};
 }
 
+std::vector<listed_server> numberedServers(int Count) {
+  std::vector<listed_server> Result(static_cast<std::size_t>(Count));
+  for (int Index = 0; Index < Count; ++Index)
+    Result[static_cast<std::size_t>(Index)] = server(std::to_string(Index));
+  return Result;
+}
+
 servers_listed list(std::uint64_t Revision,
                     std::vector<listed_server> Servers) {
   return {.Revision = store_revision(Revision), .Servers = std::move(Servers)};
@@ -184,10 +191,7 @@
   // they are well. Grown filing site, trouble-1: FLOOR at 4.0 s, 7 of 23 sound
   // servers got nothing for 2 s.
   void suspectsAreTriedByWhatCanBeRepeated() {
-    std::vector<listed_server> Servers;
-    for (int Index = 0; Index < 10; ++Index)
-      Servers.push_back(server(std::to_string(Index)));
-    Pool.update(list(1, Servers), Now);
+    Pool.update(list(1, numberedServers(10)), Now);
     for (int Count = 0; Count < 3; ++Count)
       Pool.addEvidence(backend_server_id("0"), 0, 1, Now);
     int Tried = 0;
@@ -207,10 +211,7 @@
 
   // Guards against ejecting more servers than the operators' floor allows.
   void theFloorStaysInUse() {
-    std::vector<listed_server> Servers;
-    for (int Index = 0; Index < 10; ++Index)
-      Servers.push_back(server(std::to_string(Index)));
-    Pool.update(list(1, Servers), Now);
+    Pool.update(list(1, numberedServers(10)), Now);
     for (int Index = 0; Index < 6; ++Index)
       for (int Count = 0; Count < 5; ++Count)
         Pool.addEvidence(backend_server_id(std::to_string(Index)), 0, 1, Now);
@@ -224,11 +225,9 @@
   // Guards against a floor that leaving servers fill up: during a release, most
   // of the servers that may still get work were passed over.
   void leavingServersDoNotCountForTheFloor() {
-    std::vector<listed_server> Servers;
-    for (int Index = 0; Index < 30; ++Index) {
-      Servers.push_back(server(std::to_string(Index)));
-      Servers.back().Leaving = Index >= 10;
-    }
+    std::vector<listed_server> Servers = numberedServers(30);
+    for (std::size_t Index = 10; Index < Servers.size(); ++Index)
+      Servers[Index].Leaving = true;
     Pool.update(list(1, Servers), Now);
     for (int Index = 0; Index < 6; ++Index)
       for (int Count = 0; Count < 5; ++Count)
@@ -243,10 +242,7 @@
   // Guards against a log that fills up with servers that are passed over in
   // turn: a rough day wrote 49,000 lines, most of them of this kind.
   void turnsAtTheFloorAreNoChanges() {
-    std::vector<listed_server> Servers;
-    for (int Index = 0; Index < 10; ++Index)
-      Servers.push_back(server(std::to_string(Index)));
-    Pool.update(list(1, Servers), Now);
+    Pool.update(list(1, numberedServers(10)), Now);
     for (int Round = 0; Round < 100; ++Round) {
       Now += 10ms;
       Pool.addEvidence(backend_server_id(std::to_string(Round % 5)), 0, 1, Now);
@@ -257,10 +253,7 @@
 
   // Guards against taking capacity away when all servers are late at once.
   void overloadOfAllEjectsNone() {
-    std::vector<listed_server> Servers;
-    for (int Index = 0; Index < 10; ++Index)
-      Servers.push_back(server(std::to_string(Index)));
-    Pool.update(list(1, Servers), Now);
+    Pool.update(list(1, numberedServers(10)), Now);
     for (int Index = 0; Index < 10; ++Index)
       for (int Count = 0; Count < 5; ++Count)
         Pool.addEvidence(backend_server_id(std::to_string(Index)), 0, 1, Now);
--- a/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
+++ b/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
@@ -107,8 +107,8 @@
               }};
 }
 
-gateway_observer bw::combineObservers(gateway_observer First,
-                                      gateway_observer Second) {
+gateway_observer bw::combineObservers(const gateway_observer &First,
+                                      const gateway_observer &Second) {
   return {
       .OnRequest =
           [A = First.OnRequest,
--- a/modules/bw_gateway_daemon/metrics/gateway_metrics.h
+++ b/modules/bw_gateway_daemon/metrics/gateway_metrics.h
@@ -29,8 +29,8 @@
 gateway_observer makeDecisionMetrics(metric_registry &Metrics);
 
 /// Both observers, one after the other.
-gateway_observer combineObservers(gateway_observer First,
-                                  gateway_observer Second);
+gateway_observer combineObservers(const gateway_observer &First,
+                                  const gateway_observer &Second);
 
 } // namespace bw
 
--- a/modules/bw_reports/burn/burn_page.cpp
+++ b/modules/bw_reports/burn/burn_page.cpp
@@ -11,6 +11,7 @@
 constexpr int Width = 720;
 constexpr int Height = 160;
 constexpr int Margin = 44;
+constexpr double BottomMargin = 22;
 constexpr std::size_t Steps = 60;
 
 std::string escape(const std::string &Text) {
@@ -57,7 +58,7 @@
     return Margin + Step / Steps * (Width - 2 * Margin);
   };
   const auto Y = [&](double Share) {
-    return Height - Margin / 2 - Share / Top * (Height - Margin);
+    return Height - BottomMargin - Share / Top * (Height - Margin);
   };
   std::string Bars;
   for (std::size_t Step = 0; Step < Steps; ++Step) {
--- a/modules/bw_reports/burn/outcome_series.cpp
+++ b/modules/bw_reports/burn/outcome_series.cpp
@@ -1,5 +1,7 @@
 #include "bw_reports/burn/outcome_series.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <charconv>
 
@@ -33,7 +35,7 @@
       continue;
     const std::string Service = labelOf(Each, "service");
     const std::string Outcome = labelOf(Each, "outcome");
-    last_value &Known = Last[Host + "\n" + Service + "\n" + Outcome];
+    last_value &Known = Last[fmt::format("{}\n{}\n{}", Host, Service, Outcome)];
     const double Grown =
         Each.Value >= Known.Value ? Each.Value - Known.Value : Each.Value;
     Known.Value = Each.Value;
--- a/modules/bw_reports/logs/request_story.cpp
+++ b/modules/bw_reports/logs/request_story.cpp
@@ -27,7 +27,7 @@
   std::string Result;
   for (const auto &[Key, Value] : Record.Fields)
     if (Key != "request")
-      Result += " " + Key + "=" + Value;
+      Result += fmt::format(" {}={}", Key, Value);
   return Result;
 }
 
