--- a/modules/bw_gateway/messages/gateway_events.h
+++ b/modules/bw_gateway/messages/gateway_events.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -42,6 +43,9 @@
   Broken,      ///< The connection or the answer broke; it may have run.
 };
 
+/// Name for logs and metrics, for example `not_executed`.
+std::string_view outcomeName(attempt_outcome Outcome);
+
 struct attempt_ended {
   request_number Request;
   attempt_number Attempt;
--- a/modules/bw_gateway_daemon/follow/configuration_follower.cpp
+++ b/modules/bw_gateway_daemon/follow/configuration_follower.cpp
@@ -37,10 +37,6 @@
 }
 
 duration configuration_follower::round() {
-  if (IsFirstRound && Options.FirstReadDelay > duration::zero()) {
-    IsFirstRound = false;
-    return Options.FirstReadDelay;
-  }
   if (isOthersDuty()) {
     // What changes meanwhile comes from other hosts.
     Watched.reset();
--- a/modules/bw_gateway_daemon/follow/configuration_follower.h
+++ b/modules/bw_gateway_daemon/follow/configuration_follower.h
@@ -16,8 +16,6 @@
   std::chrono::milliseconds ShortestWatch{4'000};
   std::chrono::milliseconds LongestWatch{15'000};
   std::uint64_t Seed = 1;
-  /// Other hosts are asked first; set if there are any to ask.
-  duration FirstReadDelay{};
   /// A host that does not follow the store looks again after this time whether
   /// it has to.
   duration IdlePause = std::chrono::milliseconds(400);
@@ -50,7 +48,6 @@
   /// Set while the watch can go on from there.
   std::optional<store_revision> Watched;
   bool IsAvailable = true;
-  bool IsFirstRound = true;
   follower_thread Thread;
 };
 
--- a/modules/bw_gateway_daemon/log/decision_log.cpp
+++ b/modules/bw_gateway_daemon/log/decision_log.cpp
@@ -13,20 +13,6 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
 }
 
-std::string_view outcomeName(attempt_outcome Outcome) {
-  switch (Outcome) {
-  case attempt_outcome::Answered:
-    return "answered";
-  case attempt_outcome::NotExecuted:
-    return "not_executed";
-  case attempt_outcome::NotSent:
-    return "not_sent";
-  case attempt_outcome::Broken:
-    return "broken";
-  }
-  return "";
-}
-
 std::string_view causeName(request_step Step) {
   switch (Step) {
   case request_step::Retried:
--- a/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
+++ b/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
@@ -15,20 +15,6 @@
 
 constexpr int FirstServerError = 500;
 
-std::string outcomeLabel(attempt_outcome Outcome) {
-  switch (Outcome) {
-  case attempt_outcome::Answered:
-    return "answered";
-  case attempt_outcome::NotExecuted:
-    return "not_executed";
-  case attempt_outcome::NotSent:
-    return "not_sent";
-  case attempt_outcome::Broken:
-    return "broken";
-  }
-  return "";
-}
-
 std::string changeLabel(pool_change::kind Kind) {
   switch (Kind) {
   case pool_change::kind::Added:
@@ -59,7 +45,8 @@
   case request_step::Declined:
     return Metrics.count(
         FailedAttempts,
-        {{"service", Service}, {"outcome", outcomeLabel(Decision.Outcome)}});
+        {{"service", Service},
+         {"outcome", std::string(outcomeName(Decision.Outcome))}});
   case request_step::Relayed: {
     const bool IsServed = Decision.Status < FirstServerError;
     Metrics.count(Requests,
--- a/modules/bw_gateway_daemon/peers/exchange_fetch_service.h
+++ b/modules/bw_gateway_daemon/peers/exchange_fetch_service.h
@@ -31,7 +31,7 @@
   /// Between two tries to learn from the seeds.
   duration SeedInterval = std::chrono::milliseconds(500);
   /// The same for the first tries after the start.
-  duration FirstSeedInterval = std::chrono::milliseconds(80);
+  duration FirstSeedInterval = std::chrono::milliseconds(40);
   int FirstTries = 6;
 };
 
--- a/modules/bw_kernel/log/log_event.cpp
+++ b/modules/bw_kernel/log/log_event.cpp
@@ -26,6 +26,8 @@
      "A stopping daemon waits for what is in flight."},
     {log_event::LogLinesDropped, "log_lines_dropped", log_severity::Warning,
      "Log lines came faster than they may be written and were dropped."},
+    {log_event::SettingsChanged, "settings_changed", log_severity::Info,
+     "The settings file has changed; it is read at the next start."},
     {log_event::RequestRefused, "request_refused", log_severity::Info,
      "A request was refused before any backend server saw it."},
     {log_event::RequestOutcomeUnknown, "request_outcome_unknown",
--- a/modules/bw_kernel/log/log_event.h
+++ b/modules/bw_kernel/log/log_event.h
@@ -23,6 +23,7 @@
   ServiceFailed = 1004,
   DrainWaiting = 1005,
   LogLinesDropped = 1006,
+  SettingsChanged = 1007,
   // 1100: requests of callers.
   RequestRefused = 1100,
   RequestOutcomeUnknown = 1101,
