--- a/modules/bw_kernel/programs/stop_signal.h
+++ b/modules/bw_kernel/programs/stop_signal.h
@@ -5,8 +5,8 @@
 
 namespace bw {
 
-/// Blocks SIGTERM, SIGINT and SIGHUP for the whole process. Call it in `main` before
-/// the first thread starts, since threads inherit the signal mask.
+/// Blocks SIGTERM, SIGINT and SIGHUP for the whole process. Call it in `main`
+/// before the first thread starts, since threads inherit the signal mask.
 void blockStopSignals();
 
 /// Waits until SIGTERM or SIGINT comes. Returns the signal's number.
