--- a/modules/bw_gateway/bw_gateway.h
+++ b/modules/bw_gateway/bw_gateway.h
@@ -14,6 +14,7 @@
 #include "bw_gateway/messages/gateway_events.h"
 #include "bw_gateway/routes/host_routes.h"
 #include "bw_gateway/routes/weighted_split.h"
+#include "bw_gateway/servers/load_exchange.h"
 #include "bw_gateway/servers/server_evidence.h"
 #include "bw_gateway/servers/server_pool.h"
 
--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -37,8 +37,14 @@
 constexpr duration ShortestReturn = std::chrono::milliseconds(300);
 constexpr duration LongestReturn = std::chrono::milliseconds(900);
 // Weight of a "did not run" answer as evidence: a full server is not sick, but
-// one that declines work while others do not is of no use either.
+// one that declines work while others do not is of no use either. What the
+// whole service declines tells nothing of one server: the weight is gone when
+// this share of its attempts is declined.
 constexpr double DeclinedWeight = 0.4;
+constexpr double CommonDeclineShare = 0.35;
+// Weight of the newest attempt in a service's share of declined ones: with ten
+// attempts a second a host follows a change within two seconds.
+constexpr double NewestDeclineWeight = 0.05;
 // Hosts assumed before their number is known.
 constexpr std::uint32_t AssumedHosts = 32;
 
@@ -185,11 +191,15 @@
   const std::optional<attempt> Ended = closeAttempt(Request, Event.Attempt);
   if (!Ended)
     return;
+  double &Declined = DeclinedShares[Request.Service];
+  Declined += NewestDeclineWeight *
+              ((Event.Outcome == attempt_outcome::NotExecuted ? 1 : 0) -
+               Declined);
   switch (Event.Outcome) {
   case attempt_outcome::Answered:
     return answered(Found, Event, *Ended, Now, Out);
   case attempt_outcome::NotExecuted:
-    Pool.addEvidence(Ended->Server, 0, DeclinedWeight, Now);
+    Pool.addEvidence(Ended->Server, 0, declinedWeight(Request.Service), Now);
     break;
   case attempt_outcome::NotSent:
     // It does not count as a try of the request.
@@ -212,6 +222,12 @@
   failed(Found, Event, Now, Out);
 }
 
+double gateway_engine::declinedWeight(const service_id &Service) const {
+  const auto Found = DeclinedShares.find(Service);
+  const double Share = Found == DeclinedShares.end() ? 0 : Found->second;
+  return DeclinedWeight * std::max(0.0, 1 - Share / CommonDeclineShare);
+}
+
 void gateway_engine::answered(request_map::iterator Found,
                               const attempt_ended &Event, const attempt &Ended,
                               time_point Now, commands &Out) {
@@ -482,6 +498,19 @@
   Pool.summaryReported(Event, Now);
 }
 
+void gateway_engine::on(const load_aggregate &Event, time_point Now,
+                        commands &Out) {
+  static_cast<void>(Out);
+  Pool.aggregateReported(Event, Now);
+}
+
+void gateway_engine::on(const exchange_duty &Event, time_point Now,
+                        commands &Out) {
+  static_cast<void>(Now);
+  static_cast<void>(Out);
+  Pool.exchange().setDuty(Event);
+}
+
 void gateway_engine::on(const hosts_counted &Event, time_point Now,
                         commands &Out) {
   static_cast<void>(Now);
--- a/modules/bw_gateway/engine/gateway_engine.h
+++ b/modules/bw_gateway/engine/gateway_engine.h
@@ -47,14 +47,18 @@
   void tick(time_point Now, commands &Out);
   time_point nextDue() const;
 
-  /// Own observations since the last call, for other hosts.
-  std::vector<server_report> takeReport() { return Pool.takeReport(); }
-  /// Requests of the own data centre at each server, for other data centres.
-  std::vector<server_report> ownDataCentreLoad(time_point Now) {
-    return Pool.ownDataCentreLoad(Now);
+  /// Own observations since the last call, for the aggregators.
+  peer_reported takeReport() {
+    return Pool.exchange().takeReport(Pool.ownLoad());
   }
-  /// A failure was seen that other hosts should know of soon.
-  bool hasNewFailure() const { return Pool.hasNewFailure(); }
+  /// As `load_exchange`, with this host's own load.
+  load_aggregate takeAggregate(bool WithLoad) {
+    return Pool.exchange().takeAggregate(Pool.ownLoad(), WithLoad);
+  }
+  load_summary takeSummary(bool WithLoad) {
+    return Pool.exchange().takeSummary(Pool.ownLoad(), WithLoad);
+  }
+  const load_exchange &exchange() const { return Pool.exchange(); }
 
   std::size_t openRequests() const { return Requests.size(); }
   config_version version() const;
@@ -125,6 +129,8 @@
   void on(const configuration_read &Event, time_point Now, commands &Out);
   void on(const peer_reported &Event, time_point Now, commands &Out);
   void on(const load_summary &Event, time_point Now, commands &Out);
+  void on(const load_aggregate &Event, time_point Now, commands &Out);
+  void on(const exchange_duty &Event, time_point Now, commands &Out);
   void on(const hosts_counted &Event, time_point Now, commands &Out);
 
   bool startAttempt(request_number Number, request_state &Request,
@@ -149,6 +155,7 @@
   void cancelOpen(request_number Number, request_state &Request, commands &Out);
   std::optional<attempt> closeAttempt(request_state &Request,
                                       attempt_number Number);
+  double declinedWeight(const service_id &Service) const;
   void recordLatency(const request_state &Request, const attempt &Ended,
                      time_point Now);
   duration slowAfter(const gateway_route &Route) const;
@@ -171,6 +178,8 @@
   std::unordered_map<route_id, weighted_split> Splits;
   std::unordered_map<route_id, route_statistics> Statistics;
   std::unordered_map<service_id, retry_budget> Budgets;
+  /// Share of the latest attempts that servers declined.
+  std::unordered_map<service_id, double> DeclinedShares;
 };
 
 } // namespace bw
--- a/modules/bw_gateway/hosts/host_directory.cpp
+++ b/modules/bw_gateway/hosts/host_directory.cpp
@@ -13,6 +13,13 @@
                                                 : Now - State.ListAge;
 }
 
+// Larger hosts first; the name decides between equals.
+bool ranksBefore(const gateway_host &Left, const gateway_host &Right) {
+  if (Left.ProcessorShare != Right.ProcessorShare)
+    return Left.ProcessorShare > Right.ProcessorShare;
+  return Left.Host < Right.Host;
+}
+
 } // namespace
 
 host_directory::host_directory(host_directory_options GivenOptions)
@@ -22,7 +29,7 @@
                             time_point Now) {
   std::set<host_id> Names;
   for (const gateway_host &Each : List) {
-    if (Each.Host == Options.Self)
+    if (Each.Host == Options.Self.Host)
       continue;
     Names.insert(Each.Host);
     const auto [Found, IsNew] = Hosts.try_emplace(Each.Host);
@@ -42,9 +49,14 @@
   Found->second.State = State;
   Found->second.ListReadAt = readAt(State, Now);
   Found->second.HeardAt = Now;
+  // Kept also when the sender has another list the next time.
+  if (State.ListDigest == Own.ListDigest)
+    ListSeenAt = std::max(ListSeenAt, Found->second.ListReadAt);
 }
 
 void host_directory::ownState(const host_state &State, time_point Now) {
+  if (State.ListDigest != Own.ListDigest)
+    ListSeenAt = time_point();
   Own = State;
   OwnListReadAt = readAt(State, Now);
 }
@@ -53,31 +65,90 @@
   return Entry.HeardAt && Now - *Entry.HeardAt < Options.SilentAfter;
 }
 
-std::vector<gateway_host> host_directory::targets(bool IsNear,
-                                                  random_source &Random) const {
+std::vector<gateway_host>
+host_directory::atMost(std::vector<gateway_host> Hosts, std::size_t Count,
+                       random_source &Random) const {
+  if (Hosts.size() <= Count)
+    return Hosts;
+  // The first places of a partial shuffle are a random choice.
+  for (std::size_t Place = 0; Place < Count; ++Place)
+    std::swap(Hosts[Place], Hosts[Place + Random.below(Hosts.size() - Place)]);
+  Hosts.resize(Count);
+  return Hosts;
+}
+
+std::vector<gateway_host>
+host_directory::hostsOf(const data_centre_id &DataCentre) const {
   std::vector<gateway_host> Result;
   for (const auto &[Name, Entry] : Hosts)
-    if ((Entry.Host.DataCentre == Options.DataCentre) == IsNear)
+    if (Entry.Host.DataCentre == DataCentre)
       Result.push_back(Entry.Host);
-  // The first places of a partial shuffle are a random choice.
-  for (std::size_t Place = 0;
-       Place < Options.MaxTargets && Result.size() > Options.MaxTargets;
-       ++Place)
-    std::swap(Result[Place],
-              Result[Place + Random.below(Result.size() - Place)]);
-  if (Result.size() > Options.MaxTargets)
-    Result.resize(Options.MaxTargets);
   return Result;
 }
 
 std::vector<gateway_host>
-host_directory::targetsNear(random_source &Random) const {
-  return targets(true, Random);
+host_directory::aggregatorsOf(const data_centre_id &DataCentre,
+                              time_point Now) const {
+  std::vector<gateway_host> Result;
+  for (const auto &[Name, Entry] : Hosts)
+    if (Entry.Host.DataCentre == DataCentre && isLive(Entry, Now))
+      Result.push_back(Entry.Host);
+  std::sort(Result.begin(), Result.end(), ranksBefore);
+  if (Result.size() > Options.Aggregators)
+    Result.resize(Options.Aggregators);
+  return Result;
+}
+
+std::vector<gateway_host>
+host_directory::aggregatorsNear(time_point Now, random_source &Random) const {
+  std::vector<gateway_host> Result =
+      aggregatorsOf(Options.Self.DataCentre, Now);
+  return Result.empty() ? hostsNear(Random) : Result;
+}
+
+std::vector<gateway_host>
+host_directory::aggregatorsFar(time_point Now, random_source &Random) const {
+  std::set<data_centre_id> DataCentres;
+  for (const auto &[Name, Entry] : Hosts)
+    if (!isNear(Entry))
+      DataCentres.insert(Entry.Host.DataCentre);
+  std::vector<gateway_host> Result;
+  for (const data_centre_id &Each : DataCentres) {
+    std::vector<gateway_host> Known = aggregatorsOf(Each, Now);
+    if (Known.empty()) {
+      // The largest are likely to be it; random ones help when they are dead.
+      std::vector<gateway_host> Listed = hostsOf(Each);
+      std::sort(Listed.begin(), Listed.end(), ranksBefore);
+      const auto First =
+          Listed.begin() + static_cast<std::ptrdiff_t>(
+                               std::min(Listed.size(), Options.Aggregators));
+      Known.assign(Listed.begin(), First);
+      Listed.erase(Listed.begin(), First);
+      Listed = atMost(std::move(Listed), Options.UnknownTargets, Random);
+      Known.insert(Known.end(), Listed.begin(), Listed.end());
+    }
+    Result.insert(Result.end(), Known.begin(), Known.end());
+  }
+  return Result;
+}
+
+std::vector<gateway_host>
+host_directory::hostsNear(random_source &Random) const {
+  return atMost(hostsOf(Options.Self.DataCentre), Options.MaxTargets, Random);
 }
 
 std::vector<gateway_host>
-host_directory::targetsFar(random_source &Random) const {
-  return targets(false, Random);
+host_directory::someHosts(std::size_t Near, std::size_t Far,
+                          random_source &Random) const {
+  std::vector<gateway_host> Result =
+      atMost(hostsOf(Options.Self.DataCentre), Near, Random);
+  std::vector<gateway_host> Others;
+  for (const auto &[Name, Entry] : Hosts)
+    if (!isNear(Entry))
+      Others.push_back(Entry.Host);
+  Others = atMost(std::move(Others), Far, Random);
+  Result.insert(Result.end(), Others.begin(), Others.end());
+  return Result;
 }
 
 std::optional<gateway_host>
@@ -92,15 +163,12 @@
 
 std::optional<gateway_host> host_directory::newerServers(time_point Now) const {
   const entry *Best = nullptr;
-  const auto IsNear = [&](const entry &Entry) {
-    return Entry.Host.DataCentre == Options.DataCentre;
-  };
   for (const auto &[Name, Entry] : Hosts) {
     if (!isLive(Entry, Now) || Entry.State.ListRevision <= Own.ListRevision ||
         Entry.State.ListDigest == Own.ListDigest)
       continue;
-    if (Best == nullptr || (IsNear(Entry) && !IsNear(*Best)) ||
-        (IsNear(Entry) == IsNear(*Best) &&
+    if (Best == nullptr || (isNear(Entry) && !isNear(*Best)) ||
+        (isNear(Entry) == isNear(*Best) &&
          Entry.State.ListRevision > Best->State.ListRevision))
       Best = &Entry;
   }
@@ -110,44 +178,64 @@
 std::size_t host_directory::ownRank(time_point Now) const {
   std::size_t Rank = 0;
   for (const auto &[Name, Entry] : Hosts)
-    if (Entry.Host.DataCentre == Options.DataCentre && isLive(Entry, Now) &&
-        Name < Options.Self)
+    if (isNear(Entry) && isLive(Entry, Now) &&
+        ranksBefore(Entry.Host, Options.Self))
       ++Rank;
   return Rank;
 }
 
+exchange_duty host_directory::duty(time_point Now) const {
+  const std::size_t Rank = ownRank(Now);
+  return {.IsAggregator = Rank < Options.Aggregators, .IsFirst = Rank == 0};
+}
+
 bool host_directory::followsStore(time_point Now) const {
-  return ownRank(Now) < Options.ListReaders ||
+  return duty(Now).IsAggregator ||
          (ReadSelfAt && Now - *ReadSelfAt < Options.FollowAfterRead);
 }
 
-time_point host_directory::listConfirmedAt(time_point Now) const {
-  time_point Newest = OwnListReadAt;
-  for (const auto &[Name, Entry] : Hosts)
-    if (isLive(Entry, Now) && Entry.State.ListDigest == Own.ListDigest)
-      Newest = std::max(Newest, Entry.ListReadAt);
-  return Newest;
+std::optional<gateway_host> host_directory::otherHosts(time_point Now) const {
+  for (const gateway_host &Each : aggregatorsOf(Options.Self.DataCentre, Now)) {
+    const entry &Entry = Hosts.at(Each.Host);
+    if (Entry.State.HostsDigest != Own.HostsDigest)
+      return Each;
+  }
+  return std::nullopt;
+}
+
+time_point host_directory::listConfirmedAt() const {
+  return std::max(OwnListReadAt, ListSeenAt);
 }
 
 time_point host_directory::nextListRead(time_point Now,
                                         random_source &Random) const {
   if (OwnListReadAt == time_point())
     return Now;
-  if (ownRank(Now) < Options.ListReaders)
+  const exchange_duty Duty = duty(Now);
+  if (Duty.IsFirst)
     return OwnListReadAt + Options.ReadInterval;
-  return listConfirmedAt(Now) + Options.ReadWhenOlder +
+  if (Duty.IsAggregator)
+    return listConfirmedAt() + Options.ReadBehindFirst;
+  return listConfirmedAt() + Options.ReadWhenOlder +
          std::chrono::duration_cast<duration>(Options.ReadSpread *
                                               Random.unit());
 }
 
 std::vector<host_id> host_directory::goneHosts(time_point Now) const {
   std::vector<host_id> Result;
+  if (!duty(Now).IsFirst)
+    return Result;
+  std::set<data_centre_id> Heard = {Options.Self.DataCentre};
+  for (const auto &[Name, Entry] : Hosts)
+    if (isLive(Entry, Now))
+      Heard.insert(Entry.Host.DataCentre);
   for (const auto &[Name, Entry] : Hosts) {
-    if (isLive(Entry, Now) && Name < Options.Self)
-      return {};
     const time_point Since =
         std::max(Entry.ListedAt, Entry.HeardAt.value_or(time_point()));
-    if (Now - Since > Options.GoneAfter)
+    // The hosts of another data centre that is heard are its own to remove.
+    if (isNear(Entry) ? Now - Since > Options.GoneAfter
+                      : !Heard.contains(Entry.Host.DataCentre) &&
+                            Now - Since > Options.DataCentreGoneAfter)
       Result.push_back(Name);
   }
   return Result;
--- a/modules/bw_gateway/messages/gateway_events.h
+++ b/modules/bw_gateway/messages/gateway_events.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -83,6 +84,9 @@
   std::shared_ptr<const gateway_configuration> Configuration;
 };
 
+/// Requests of one host at each server, without servers that have none.
+using load_list = std::vector<std::pair<backend_server_id, std::uint32_t>>;
+
 /// What another host saw of one backend server since its last report.
 struct server_report {
   backend_server_id Server;
@@ -92,18 +96,56 @@
   std::uint16_t InFlight = 0;
 };
 
-/// One data centre's requests at each server, summed up by one of its hosts.
+/// Counts the reports of one host.
+using report_number = strong_number<struct report_number_tag, std::uint32_t>;
+
+struct peer_reported {
+  host_id Host;
+  report_number Number;
+  /// The report names all servers at which the host has requests.
+  bool HasLoad = true;
+  /// It went to all hosts of the data centre and need not be passed on there.
+  bool IsBroadcast = false;
+  std::vector<server_report> Servers;
+};
+
+/// One data centre's requests at each server, and failures there, from its
+/// first aggregator to those of other data centres.
 struct load_summary {
   data_centre_id DataCentre;
+  /// Otherwise it tells of failures only.
+  bool HasLoad = true;
   std::vector<server_report> Servers;
 };
 
-struct peer_reported {
-  host_id Host;
-  /// The report names all servers at which the host has requests; otherwise
-  /// only servers that failed.
+/// Requests of all hosts at one server and what was newly seen of it.
+struct aggregated_load {
+  backend_server_id Server;
+  /// Of the own data centre, the receiver included, and of others.
+  std::uint16_t Near = 0;
+  std::uint16_t Far = 0;
+  float Good = 0;
+  float Bad = 0;
+};
+
+/// From an aggregator to the hosts of its data centre.
+struct load_aggregate {
+  /// It names all servers with requests; otherwise it tells outcomes only.
   bool HasLoad = true;
-  std::vector<server_report> Servers;
+  std::vector<aggregated_load> Servers;
+  /// The last report of each host that the sums hold.
+  std::vector<std::pair<host_id, report_number>> Included;
+};
+
+/// What this host does for the others of its data centre.
+struct exchange_duty {
+  /// It sums up the load of the data centre and follows the store for it.
+  bool IsAggregator = false;
+  /// It is the one that tells other data centres.
+  bool IsFirst = false;
+
+  friend bool operator==(const exchange_duty &,
+                         const exchange_duty &) = default;
 };
 
 /// The number of hosts that share the fleet's retry budget.
@@ -114,7 +156,7 @@
 using gateway_event =
     std::variant<request_arrived, attempt_ended, relay_ended, caller_left,
                  servers_listed, configuration_read, peer_reported,
-                 load_summary, hosts_counted>;
+                 load_summary, load_aggregate, exchange_duty, hosts_counted>;
 
 } // namespace bw
 
--- /dev/null
+++ b/modules/bw_gateway/servers/load_exchange.cpp
@@ -0,0 +1,276 @@
+#include "bw_gateway/servers/load_exchange.h"
+
+#include <algorithm>
+#include <limits>
+
+using namespace bw;
+
+namespace {
+
+// A host with requests reports several times a second; after this silence its
+// requests are taken to have ended.
+constexpr duration Silence = std::chrono::milliseconds(1500);
+
+// Another aggregator takes over when it misses a few messages of the first.
+constexpr duration FirstIsLate = std::chrono::milliseconds(400);
+// Sums hold a report that is at most a few intervals old.
+constexpr std::size_t MostReported = 16;
+
+std::uint16_t shortCount(std::uint32_t Count) {
+  return static_cast<std::uint16_t>(std::min<std::uint32_t>(
+      Count, std::numeric_limits<std::uint16_t>::max()));
+}
+
+std::uint32_t
+countAt(const std::unordered_map<backend_server_id, std::uint32_t> &Load,
+        const backend_server_id &Server) {
+  const auto Found = Load.find(Server);
+  return Found == Load.end() ? 0 : Found->second;
+}
+
+} // namespace
+
+// Every server with own requests gets a record, so that walking the records
+// finds it.
+load_exchange::load_map load_exchange::loadMap(const load_list &OwnLoad) {
+  for (const auto &[Server, InFlight] : OwnLoad)
+    Records.try_emplace(Server);
+  return {OwnLoad.begin(), OwnLoad.end()};
+}
+
+void load_exchange::setDuty(exchange_duty NewDuty) {
+  Duty = NewDuty;
+  // What was gathered in another role was passed on by somebody else.
+  for (auto &[Server, Record] : Records) {
+    Record.ForNear = {};
+    Record.ForFar = {};
+  }
+  FailureForFar = false;
+}
+
+void load_exchange::observed(const backend_server_id &Server, double Good,
+                             double Bad) {
+  const auto MoreGood = static_cast<float>(Good);
+  const auto MoreBad = static_cast<float>(Bad);
+  Records[Server].Unreported.add(MoreGood, MoreBad);
+  NewFailure = NewFailure || Bad > 0;
+  passToFar(Server, MoreGood, MoreBad);
+}
+
+void load_exchange::passToFar(const backend_server_id &Server, float Good,
+                              float Bad) {
+  if (!Duty.IsFirst)
+    return;
+  Records[Server].ForFar.add(Good, Bad);
+  FailureForFar = FailureForFar || Bad > 0;
+}
+
+void load_exchange::forget(const backend_server_id &Server) {
+  const auto IsOfServer = [&](const auto &Each) {
+    return Each.first == Server;
+  };
+  for (auto &[Host, Load] : NearHosts)
+    std::erase_if(Load.Servers, IsOfServer);
+  for (auto &[DataCentre, Load] : FarDataCentres)
+    std::erase_if(Load.Servers, IsOfServer);
+  Records.erase(Server);
+}
+
+bool load_exchange::hasNearLoad() const {
+  return std::any_of(NearHosts.begin(), NearHosts.end(), [](const auto &Each) {
+    return !Each.second.Servers.empty();
+  });
+}
+
+bool load_exchange::sendsAggregates(time_point Now) const {
+  return Duty.IsFirst ||
+         (Duty.IsAggregator && Now - AggregateAt >= FirstIsLate);
+}
+
+std::uint32_t
+load_exchange::inFlightElsewhere(const backend_server_id &Server) const {
+  const auto Found = Records.find(Server);
+  if (Found == Records.end())
+    return 0;
+  const record &Record = Found->second;
+  return Duty.IsAggregator ? Record.NearInFlight + Record.FarInFlight
+                           : Record.AggregatedNear + Record.AggregatedFar;
+}
+
+peer_reported load_exchange::takeReport(const load_list &OwnLoad) {
+  NewFailure = false;
+  const report_number Number =
+      Reported.empty() ? report_number(1) : Reported.back().first.next();
+  Reported.emplace_back(Number, OwnLoad);
+  if (Reported.size() > MostReported)
+    Reported.pop_front();
+  const load_map Own = loadMap(OwnLoad);
+  peer_reported Result{.Host = Self, .Number = Number, .Servers = {}};
+  for (auto &[Server, Record] : Records) {
+    const std::uint32_t InFlight = countAt(Own, Server);
+    if (InFlight == 0 && Record.Unreported.isEmpty())
+      continue;
+    Result.Servers.push_back({.Server = Server,
+                              .Good = Record.Unreported.Good,
+                              .Bad = Record.Unreported.Bad,
+                              .InFlight = shortCount(InFlight)});
+    Record.Unreported = {};
+  }
+  // Others may tell of servers that this host does not list.
+  std::erase_if(Records,
+                [](const auto &Each) { return Each.second == record{}; });
+  return Result;
+}
+
+load_aggregate load_exchange::takeAggregate(const load_list &OwnLoad,
+                                            bool WithLoad) {
+  load_aggregate Result{.HasLoad = WithLoad, .Servers = {}};
+  const load_map Own = loadMap(OwnLoad);
+  for (auto &[Server, Record] : Records) {
+    aggregated_load Item{.Server = Server,
+                         .Near = 0,
+                         .Far = 0,
+                         .Good = Record.ForNear.Good,
+                         .Bad = Record.ForNear.Bad};
+    Record.ForNear = {};
+    if (WithLoad) {
+      Item.Near = shortCount(Record.NearInFlight + countAt(Own, Server));
+      Item.Far = shortCount(Record.FarInFlight);
+    }
+    if (Item.Near > 0 || Item.Far > 0 || Item.Good > 0 || Item.Bad > 0)
+      Result.Servers.push_back(std::move(Item));
+  }
+  if (WithLoad)
+    for (const auto &[Host, Load] : NearHosts)
+      Result.Included.emplace_back(Host, Load.Number);
+  return Result;
+}
+
+load_summary load_exchange::takeSummary(const load_list &OwnLoad,
+                                        bool WithLoad) {
+  load_summary Result{
+      .DataCentre = OwnDataCentre, .HasLoad = WithLoad, .Servers = {}};
+  const load_map Own = loadMap(OwnLoad);
+  FailureForFar = false;
+  for (auto &[Server, Record] : Records) {
+    server_report Item{.Server = Server};
+    // Bytes between data centres are costly: what went well is not told.
+    if (Record.ForFar.Bad > 0) {
+      Item.Good = Record.ForFar.Good;
+      Item.Bad = Record.ForFar.Bad;
+    }
+    Record.ForFar = {};
+    if (WithLoad)
+      Item.InFlight = shortCount(Record.NearInFlight + countAt(Own, Server));
+    if (Item.InFlight > 0 || Item.Bad > 0)
+      Result.Servers.push_back(std::move(Item));
+  }
+  return Result;
+}
+
+void load_exchange::take(const peer_reported &Report, time_point Now) {
+  if (!Duty.IsAggregator)
+    return;
+  if (Report.HasLoad)
+    replace(NearHosts[Report.Host], &record::NearInFlight, Report.Servers, Now);
+  for (const server_report &Each : Report.Servers) {
+    // A broadcast went to every host of the data centre already.
+    if (Duty.IsFirst && !Report.IsBroadcast)
+      Records[Each.Server].ForNear.add(Each.Good, Each.Bad);
+    passToFar(Each.Server, Each.Good, Each.Bad);
+  }
+}
+
+void load_exchange::take(const load_summary &Summary, time_point Now) {
+  if (!Duty.IsAggregator || Summary.DataCentre == OwnDataCentre)
+    return;
+  if (Summary.HasLoad)
+    replace(FarDataCentres[Summary.DataCentre], &record::FarInFlight,
+            Summary.Servers, Now);
+  if (Duty.IsFirst)
+    for (const server_report &Each : Summary.Servers)
+      Records[Each.Server].ForNear.add(Each.Good, Each.Bad);
+}
+
+void load_exchange::take(const load_aggregate &Aggregate, time_point Now) {
+  if (!Aggregate.HasLoad)
+    return;
+  AggregateAt = Now;
+  // An aggregator has first-hand knowledge.
+  if (Duty.IsAggregator)
+    return;
+  clearAggregate();
+  for (const aggregated_load &Each : Aggregate.Servers) {
+    record &Record = Records[Each.Server];
+    Record.AggregatedNear = Each.Near;
+    Record.AggregatedFar = Each.Far;
+  }
+  withdrawOwn(Aggregate);
+}
+
+// The sums hold what this host reported at some time; what it has in flight by
+// now it knows itself.
+void load_exchange::withdrawOwn(const load_aggregate &Aggregate) {
+  const auto Included =
+      std::find_if(Aggregate.Included.begin(), Aggregate.Included.end(),
+                   [&](const auto &Each) { return Each.first == Self; });
+  if (Included == Aggregate.Included.end())
+    return;
+  const auto Report =
+      std::find_if(Reported.begin(), Reported.end(), [&](const auto &Each) {
+        return Each.first == Included->second;
+      });
+  if (Report == Reported.end())
+    return;
+  for (const auto &[Server, InFlight] : Report->second) {
+    std::uint32_t &Near = Records[Server].AggregatedNear;
+    Near -= std::min(Near, InFlight);
+  }
+}
+
+void load_exchange::clearAggregate() {
+  for (auto &[Server, Record] : Records) {
+    Record.AggregatedNear = 0;
+    Record.AggregatedFar = 0;
+  }
+}
+
+void load_exchange::replace(reported_load &Load, load_counter Counter,
+                            const std::vector<server_report> &Servers,
+                            time_point Now) {
+  withdraw(Load, Counter);
+  Load = {.Servers = {}, .At = Now};
+  for (const server_report &Each : Servers) {
+    if (Each.InFlight == 0)
+      continue;
+    Records[Each.Server].*Counter += Each.InFlight;
+    Load.Servers.emplace_back(Each.Server, Each.InFlight);
+  }
+}
+
+void load_exchange::withdraw(const reported_load &Load, load_counter Counter) {
+  for (const auto &[Server, InFlight] : Load.Servers)
+    Records[Server].*Counter -= InFlight;
+}
+
+template <typename Id>
+void load_exchange::expire(std::map<Id, reported_load> &Loads,
+                           load_counter Counter, time_point Now) {
+  for (auto Each = Loads.begin(); Each != Loads.end();) {
+    if (Now - Each->second.At < Silence) {
+      ++Each;
+      continue;
+    }
+    withdraw(Each->second, Counter);
+    Each = Loads.erase(Each);
+  }
+}
+
+void load_exchange::expire(time_point Now) {
+  expire(NearHosts, &record::NearInFlight, Now);
+  expire(FarDataCentres, &record::FarInFlight, Now);
+  if (AggregateAt != time_point() && Now - AggregateAt >= Silence) {
+    AggregateAt = {};
+    clearAggregate();
+  }
+}
--- /dev/null
+++ b/modules/bw_gateway/servers/load_exchange_test.cpp
@@ -0,0 +1,221 @@
+#include "bw_gateway/servers/load_exchange.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace bw;
+using namespace std::chrono_literals;
+
+namespace {
+
+const data_centre_id Near("near");
+const data_centre_id Far("far");
+const backend_server_id A("a");
+const backend_server_id B("b");
+const exchange_duty First{.IsAggregator = true, .IsFirst = true};
+const exchange_duty Second{.IsAggregator = true, .IsFirst = false};
+
+} // namespace
+
+class load_exchange_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(load_exchange_test);
+  CPPUNIT_TEST(reportsWhatItSawOnce);
+  CPPUNIT_TEST(anAggregatorSumsUpWhatHostsReport);
+  CPPUNIT_TEST(ownRequestsAreNotCountedTwice);
+  CPPUNIT_TEST(outcomesArePassedOnByOneAggregatorAlone);
+  CPPUNIT_TEST(broadcastFailuresAreNotPassedOnNear);
+  CPPUNIT_TEST(onlyFailuresLeaveTheDataCentre);
+  CPPUNIT_TEST(aNewAggregatorPassesOnNothingOld);
+  CPPUNIT_TEST(theSecondAggregatorTakesOver);
+  CPPUNIT_TEST(silentHostsNoLongerCount);
+  CPPUNIT_TEST(serversThatAreGoneLeaveNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against outcomes that are counted twice by the other hosts.
+  void reportsWhatItSawOnce() {
+    load_exchange Host(host_id("self"), Near);
+    Host.observed(A, 1, 0);
+    CPPUNIT_ASSERT(!Host.hasNewFailure());
+    Host.observed(A, 0, 1);
+    CPPUNIT_ASSERT(Host.hasNewFailure());
+    const auto Reported = Host.takeReport({{A, 1}}).Servers;
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Reported.size());
+    CPPUNIT_ASSERT(Reported[0].Good == 1 && Reported[0].Bad == 1 &&
+                   Reported[0].InFlight == 1);
+    CPPUNIT_ASSERT(!Host.hasNewFailure());
+    const auto Again = Host.takeReport({{A, 1}}).Servers;
+    CPPUNIT_ASSERT(Again[0].Good == 0 && Again[0].InFlight == 1);
+    CPPUNIT_ASSERT(Host.takeReport({}).Servers.empty());
+  }
+
+  // Guards against hosts that all choose the same server, since each knows
+  // only of its own requests.
+  void anAggregatorSumsUpWhatHostsReport() {
+    load_exchange Aggregator(host_id("self"), Near);
+    Aggregator.setDuty(First);
+    Aggregator.take(report("h1", A, 2), Now);
+    Aggregator.take(report("h2", A, 3), Now);
+    Aggregator.take(load_summary{.DataCentre = Far,
+                                 .Servers = {{.Server = A, .InFlight = 4}}},
+                    Now);
+    CPPUNIT_ASSERT_EQUAL(9U, Aggregator.inFlightElsewhere(A));
+    const load_aggregate Sums = Aggregator.takeAggregate({{A, 1}}, true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Sums.Servers.size());
+    CPPUNIT_ASSERT(Sums.Servers[0].Near == 6 && Sums.Servers[0].Far == 4);
+    const load_summary Summary = Aggregator.takeSummary({{A, 1}}, true);
+    CPPUNIT_ASSERT(Summary.DataCentre == Near);
+    CPPUNIT_ASSERT(Summary.Servers.at(0).InFlight == 6);
+    // A later report of a host replaces its former one.
+    Aggregator.take(report("h2", B, 1), Now);
+    CPPUNIT_ASSERT_EQUAL(6U, Aggregator.inFlightElsewhere(A));
+    CPPUNIT_ASSERT_EQUAL(1U, Aggregator.inFlightElsewhere(B));
+  }
+
+  // Guards against a host that avoids a server because of its own requests, and
+  // against one that overlooks requests of others, since the sums hold an older
+  // report of its own than the last.
+  void ownRequestsAreNotCountedTwice() {
+    load_exchange Host(host_id("self"), Near);
+    const report_number Older = Host.takeReport({{A, 2}}).Number;
+    const report_number Newer = Host.takeReport({{A, 4}}).Number;
+    load_aggregate Sums{
+        .Servers = {{.Server = A, .Near = 5, .Far = 1}},
+        .Included = {{host_id("other"), Newer}, {host_id("self"), Older}}};
+    Host.take(Sums, Now);
+    CPPUNIT_ASSERT_EQUAL(4U, Host.inFlightElsewhere(A));
+    Sums.Included[1].second = Newer;
+    Host.take(Sums, Now);
+    CPPUNIT_ASSERT_EQUAL(2U, Host.inFlightElsewhere(A));
+    // The aggregator has not heard this host.
+    Sums.Included.pop_back();
+    Host.take(Sums, Now);
+    CPPUNIT_ASSERT_EQUAL(6U, Host.inFlightElsewhere(A));
+    // Outcomes alone leave the load as it is; a full one without the server
+    // says that it has none.
+    Host.take(load_aggregate{.HasLoad = false}, Now);
+    CPPUNIT_ASSERT_EQUAL(6U, Host.inFlightElsewhere(A));
+    Host.take(load_aggregate{}, Now);
+    CPPUNIT_ASSERT_EQUAL(0U, Host.inFlightElsewhere(A));
+  }
+
+  // Guards against outcomes that count twice since two hosts pass them on.
+  void outcomesArePassedOnByOneAggregatorAlone() {
+    for (const exchange_duty Duty : {First, Second}) {
+      load_exchange Aggregator(host_id("self"), Near);
+      Aggregator.setDuty(Duty);
+      Aggregator.take(report("h1", A, 0, 3, 0), Now);
+      const load_aggregate Sums = Aggregator.takeAggregate({}, false);
+      CPPUNIT_ASSERT_EQUAL(Duty.IsFirst, !Sums.Servers.empty());
+      CPPUNIT_ASSERT(!Duty.IsFirst || Sums.Servers[0].Good == 3);
+      CPPUNIT_ASSERT(Aggregator.takeAggregate({}, false).Servers.empty());
+    }
+  }
+
+  void broadcastFailuresAreNotPassedOnNear() {
+    load_exchange Aggregator(host_id("self"), Near);
+    Aggregator.setDuty(First);
+    peer_reported Failure = report("h1", A, 0, 0, 1);
+    Failure.IsBroadcast = true;
+    Aggregator.take(Failure, Now);
+    CPPUNIT_ASSERT(Aggregator.takeAggregate({}, true).Servers.empty());
+    // Other data centres have not heard of it.
+    CPPUNIT_ASSERT(Aggregator.hasFailureForFar());
+    CPPUNIT_ASSERT(Aggregator.takeSummary({}, false).Servers.at(0).Bad == 1);
+    CPPUNIT_ASSERT(!Aggregator.hasFailureForFar());
+  }
+
+  // Guards against bytes between data centres for news that changes nothing
+  // there, and against failures that stay unknown there.
+  void onlyFailuresLeaveTheDataCentre() {
+    load_exchange Aggregator(host_id("self"), Near);
+    Aggregator.setDuty(First);
+    Aggregator.take(report("h1", A, 0, 5, 0), Now);
+    Aggregator.observed(B, 1, 1);
+    const load_summary Summary = Aggregator.takeSummary({}, false);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Summary.Servers.size());
+    CPPUNIT_ASSERT(Summary.Servers[0].Server == B &&
+                   Summary.Servers[0].Good == 1);
+    // The other side passes it on to its own hosts.
+    load_exchange There(host_id("self"), Far);
+    There.setDuty(First);
+    There.take(Summary, Now);
+    CPPUNIT_ASSERT(There.takeAggregate({}, false).Servers.at(0).Bad == 1);
+    CPPUNIT_ASSERT(There.takeSummary({}, false).Servers.empty());
+  }
+
+  // Guards against outcomes of long ago that a host passes on when it takes
+  // over.
+  void aNewAggregatorPassesOnNothingOld() {
+    load_exchange Host(host_id("self"), Near);
+    Host.take(report("h1", A, 4, 0, 1), Now);
+    Host.observed(B, 0, 1);
+    Host.setDuty(First);
+    CPPUNIT_ASSERT(Host.takeAggregate({}, true).Servers.empty());
+    CPPUNIT_ASSERT(Host.takeSummary({}, true).Servers.empty());
+  }
+
+  // Guards against a data centre without sums after the death of the first
+  // aggregator, and against sums that are sent twice.
+  void theSecondAggregatorTakesOver() {
+    load_exchange Aggregator(host_id("self"), Near);
+    CPPUNIT_ASSERT(!Aggregator.sendsAggregates(Now));
+    Aggregator.setDuty(Second);
+    CPPUNIT_ASSERT(Aggregator.sendsAggregates(Now));
+    Aggregator.take(load_aggregate{}, Now);
+    CPPUNIT_ASSERT(!Aggregator.sendsAggregates(Now + 300ms));
+    CPPUNIT_ASSERT(Aggregator.sendsAggregates(Now + 500ms));
+    Aggregator.setDuty(First);
+    CPPUNIT_ASSERT(Aggregator.sendsAggregates(Now));
+    // Hosts that are idle are nothing to tell of.
+    Aggregator.take(report("h1", A, 0), Now);
+    CPPUNIT_ASSERT(!Aggregator.hasNearLoad());
+    Aggregator.take(report("h1", A, 1), Now);
+    CPPUNIT_ASSERT(Aggregator.hasNearLoad());
+  }
+
+  // Guards against load of a host that died and never reported its end.
+  void silentHostsNoLongerCount() {
+    load_exchange Aggregator(host_id("self"), Near);
+    Aggregator.setDuty(Second);
+    Aggregator.take(report("h1", A, 2), Now);
+    Aggregator.take(load_summary{.DataCentre = Far,
+                                 .Servers = {{.Server = A, .InFlight = 4}}},
+                    Now);
+    load_exchange Host(host_id("self"), Near);
+    Host.take(load_aggregate{.Servers = {{.Server = A, .Near = 5}}}, Now);
+    for (load_exchange *Each : {&Aggregator, &Host}) {
+      Each->expire(Now + 1s);
+      CPPUNIT_ASSERT(Each->inFlightElsewhere(A) > 0);
+      Each->expire(Now + 2s);
+      CPPUNIT_ASSERT_EQUAL(0U, Each->inFlightElsewhere(A));
+    }
+    CPPUNIT_ASSERT(!Aggregator.hasNearLoad());
+  }
+
+  // Guards against load of a former lifetime at a server that is new.
+  void serversThatAreGoneLeaveNothing() {
+    load_exchange Aggregator(host_id("self"), Near);
+    Aggregator.setDuty(First);
+    Aggregator.take(report("h1", A, 2), Now);
+    Aggregator.forget(A);
+    CPPUNIT_ASSERT_EQUAL(0U, Aggregator.inFlightElsewhere(A));
+    Aggregator.take(report("h1", A, 1), Now);
+    CPPUNIT_ASSERT_EQUAL(1U, Aggregator.inFlightElsewhere(A));
+  }
+
+private:
+  static peer_reported report(const std::string &Host,
+                              const backend_server_id &Server,
+                              std::uint16_t InFlight, float Good = 0,
+                              float Bad = 0) {
+    return {.Host = host_id(Host),
+            .Servers = {{.Server = Server,
+                         .Good = Good,
+                         .Bad = Bad,
+                         .InFlight = InFlight}}};
+  }
+
+  time_point Now{100s};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(load_exchange_test);
--- a/modules/bw_gateway/servers/server_pool.cpp
+++ b/modules/bw_gateway/servers/server_pool.cpp
@@ -10,9 +10,6 @@
 // Entries that lapsed while the store was away return within about two seconds
 // of its return; one that is still missing then is gone.
 constexpr duration ReturnAfterOutage = std::chrono::seconds(2);
-// A host reports several times a second; after this silence its requests are
-// taken to have ended.
-constexpr duration PeerSilence = std::chrono::milliseconds(1500);
 // A server is passed over only if it fails more often than its service by this
 // factor, so that an overload of all servers ejects none.
 constexpr double WorseThanService = 1.3;
@@ -43,11 +40,18 @@
       Entry.MissingSince = Now;
   for (const listed_server &Server : List.Servers)
     show(Server, Now, Result);
-  const bool MayReturn = OutageEnd && Now < *OutageEnd + ReturnAfterOutage;
+  removeMissing(Now, Result);
+  return Result;
+}
+
+void server_pool::removeMissing(time_point Now,
+                                std::vector<pool_change> &Result) {
+  if (OutageEnd && Now < *OutageEnd + ReturnAfterOutage)
+    return;
+  OutageEnd.reset();
   for (std::uint32_t Index = 0; Index < Entries.size(); ++Index)
-    if (Entries[Index].Used && Entries[Index].MissingSince && !MayReturn)
+    if (Entries[Index].Used && Entries[Index].MissingSince)
       remove(Index, Result);
-  return Result;
 }
 
 void server_pool::show(const listed_server &Server, time_point Now,
@@ -89,19 +93,11 @@
   return Index;
 }
 
-void server_pool::forgetServer(std::uint32_t Index) {
-  const auto IsOfServer = [&](const auto &Each) { return Each.first == Index; };
-  for (auto &[Host, Load] : NearHosts)
-    std::erase_if(Load.InFlight, IsOfServer);
-  for (auto &[DataCentre, Load] : FarDataCentres)
-    std::erase_if(Load.InFlight, IsOfServer);
-}
-
 void server_pool::remove(std::uint32_t Index,
                          std::vector<pool_change> &Result) {
   entry &Entry = Entries[Index];
   Result.push_back({.Kind = change_kind::Removed, .Server = Entry.Server});
-  forgetServer(Index);
+  Exchange.forget(Entry.Server.Server);
   const auto Service = Services.find(Entry.Server.Service);
   std::erase(Service->second, Index);
   if (Service->second.empty())
@@ -127,8 +123,8 @@
     Candidates.push_back(
         {.Index = Index,
          .Slots = std::max(Entry.Server.Slots.value(), 1U),
-         .InFlight =
-             double(Entry.OwnInFlight) + Entry.NearInFlight + Entry.FarInFlight,
+         .InFlight = double(Entry.OwnInFlight) +
+                     Exchange.inFlightElsewhere(Entry.Server.Server),
          .FailureShare = failureShare(Entry, Now),
          .IsRemote = Entry.Server.DataCentre != Options.OwnDataCentre,
          .IsCold = Now < Entry.ColdUntil,
@@ -196,7 +192,9 @@
 server_pool::take(const service_id &Service,
                   std::span<const backend_server_id> Excluded,
                   bool IsLastChance, time_point Now, random_source &Random) {
-  expireLoads(Now);
+  Exchange.expire(Now);
+  if (OutageEnd)
+    removeMissing(Now, Changes);
   collectUsable(Service, Excluded, IsLastChance, Now);
   if (Candidates.empty())
     return nullptr;
@@ -226,9 +224,7 @@
   entry &Entry = Entries[Found->second];
   Entry.Shared.add(Good, Bad, Now);
   Entry.Own.add(Good, Bad, Now);
-  NewFailure = NewFailure || Bad > 0;
-  Entry.UnreportedGood += static_cast<float>(Good);
-  Entry.UnreportedBad += static_cast<float>(Bad);
+  Exchange.observed(Server, Good, Bad);
 }
 
 // Others may fare better with the server, so it takes several hosts to convince
@@ -241,8 +237,7 @@
   entry &Entry = Entries[Found->second];
   Entry.Own.add(0, 1, Now);
   Entry.Shared.add(0, SharedWeight, Now);
-  Entry.UnreportedBad += static_cast<float>(SharedWeight);
-  NewFailure = true;
+  Exchange.observed(Server, 0, SharedWeight);
 }
 
 void server_pool::addPathFailure(const backend_server_id &Server,
@@ -254,88 +249,40 @@
   addDoubtful(Server, SlownessWeight, Now);
 }
 
-void server_pool::forget(peer_load &Load, load_counter Counter) {
-  for (const auto &[Index, InFlight] : Load.InFlight)
-    Entries[Index].*Counter -= InFlight;
-  Load.InFlight.clear();
-}
-
-void server_pool::replaceLoad(peer_load &Load, load_counter Counter,
-                              const std::vector<server_report> &Servers,
-                              time_point Now) {
-  forget(Load, Counter);
-  Load.At = Now;
-  for (const server_report &Each : Servers) {
-    const auto Found = Indexes.find(Each.Server);
-    if (Found == Indexes.end() || Each.InFlight == 0)
-      continue;
-    Entries[Found->second].*Counter += Each.InFlight;
-    Load.InFlight.emplace_back(Found->second, Each.InFlight);
-  }
-}
-
-template <typename Id>
-void server_pool::expire(std::map<Id, peer_load> &Loads, load_counter Counter,
-                         time_point Now) {
-  for (auto Each = Loads.begin(); Each != Loads.end();) {
-    if (Now - Each->second.At < PeerSilence) {
-      ++Each;
-      continue;
-    }
-    forget(Each->second, Counter);
-    Each = Loads.erase(Each);
-  }
-}
-
-void server_pool::expireLoads(time_point Now) {
-  expire(NearHosts, &entry::NearInFlight, Now);
-  expire(FarDataCentres, &entry::FarInFlight, Now);
+void server_pool::addShared(const backend_server_id &Server, float Good,
+                            float Bad, time_point Now) {
+  const auto Found = Indexes.find(Server);
+  if (Found != Indexes.end() && (Good > 0 || Bad > 0))
+    Entries[Found->second].Shared.add(Good, Bad, Now);
 }
 
 void server_pool::peerReported(const peer_reported &Report, time_point Now) {
-  if (Report.HasLoad)
-    replaceLoad(NearHosts[Report.Host], &entry::NearInFlight, Report.Servers,
-                Now);
-  for (const server_report &Each : Report.Servers) {
-    const auto Found = Indexes.find(Each.Server);
-    if (Found != Indexes.end() && (Each.Good > 0 || Each.Bad > 0))
-      Entries[Found->second].Shared.add(Each.Good, Each.Bad, Now);
-  }
+  Exchange.take(Report, Now);
+  for (const server_report &Each : Report.Servers)
+    addShared(Each.Server, Each.Good, Each.Bad, Now);
 }
 
 void server_pool::summaryReported(const load_summary &Summary, time_point Now) {
-  if (Summary.DataCentre != Options.OwnDataCentre)
-    replaceLoad(FarDataCentres[Summary.DataCentre], &entry::FarInFlight,
-                Summary.Servers, Now);
+  Exchange.take(Summary, Now);
+  for (const server_report &Each : Summary.Servers)
+    addShared(Each.Server, Each.Good, Each.Bad, Now);
 }
 
-std::vector<server_report> server_pool::ownDataCentreLoad(time_point Now) {
-  expireLoads(Now);
-  std::vector<server_report> Result;
-  for (const entry &Entry : Entries) {
-    const std::uint32_t InFlight = Entry.OwnInFlight + Entry.NearInFlight;
-    if (Entry.Used && InFlight > 0)
-      Result.push_back({.Server = Entry.Server.Server,
-                        .InFlight = static_cast<std::uint16_t>(InFlight)});
-  }
-  return Result;
+void server_pool::aggregateReported(const load_aggregate &Aggregate,
+                                    time_point Now) {
+  Exchange.take(Aggregate, Now);
+  // An aggregator got the reports themselves.
+  if (Exchange.duty().IsAggregator)
+    return;
+  for (const aggregated_load &Each : Aggregate.Servers)
+    addShared(Each.Server, Each.Good, Each.Bad, Now);
 }
 
-std::vector<server_report> server_pool::takeReport() {
-  std::vector<server_report> Result;
-  NewFailure = false;
-  for (entry &Entry : Entries) {
-    if (!Entry.Used || (Entry.UnreportedGood == 0 && Entry.UnreportedBad == 0 &&
-                        Entry.OwnInFlight == 0))
-      continue;
-    Result.push_back(
-        {.Server = Entry.Server.Server,
-         .Good = Entry.UnreportedGood,
-         .Bad = Entry.UnreportedBad,
-         .InFlight = static_cast<std::uint16_t>(Entry.OwnInFlight)});
-    Entry.UnreportedGood = 0;
-    Entry.UnreportedBad = 0;
-  }
+load_list server_pool::ownLoad() const {
+  load_list Result;
+  for (const entry &Entry : Entries)
+    if (Entry.Used && Entry.OwnInFlight > 0)
+      Result.emplace_back(Entry.Server.Server, Entry.OwnInFlight);
   return Result;
 }
 
--- a/modules/bw_gateway/servers/server_pool.h
+++ b/modules/bw_gateway/servers/server_pool.h
@@ -4,11 +4,11 @@
 #include "bw_core/ids/units.h"
 #include "bw_core/random/random_source.h"
 #include "bw_gateway/messages/gateway_events.h"
+#include "bw_gateway/servers/load_exchange.h"
 #include "bw_gateway/servers/server_evidence.h"
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -45,6 +45,7 @@
 server_choice makeRoundRobinChoice();
 
 struct server_pool_options {
+  host_id Self;
   data_centre_id OwnDataCentre;
   /// At least this share of a service's servers that may get work stays in use,
   /// however bad they look.
@@ -72,7 +73,8 @@
 class server_pool {
 public:
   explicit server_pool(server_pool_options Options)
-      : Options(std::move(Options)) {}
+      : Options(std::move(Options)),
+        Exchange(this->Options.Self, this->Options.OwnDataCentre) {}
 
   /// The list as the platform has it now; it decides who may get work. An older
   /// list than the known one changes nothing. After an outage, servers that are
@@ -97,16 +99,16 @@
   /// A request takes much longer than usual.
   void addSlowness(const backend_server_id &Server, time_point Now);
 
-  /// A report of a host of the own data centre, or of failures from any host.
+  /// A report of a host of the own data centre.
   void peerReported(const peer_reported &Report, time_point Now);
-  /// Requests of another data centre.
   void summaryReported(const load_summary &Summary, time_point Now);
-  /// Requests of the own data centre, for the hosts of others.
-  std::vector<server_report> ownDataCentreLoad(time_point Now);
-  /// Own observations since the last call, for other hosts.
-  std::vector<server_report> takeReport();
-  /// A failure was seen that other hosts do not know of yet.
-  bool hasNewFailure() const { return NewFailure; }
+  void aggregateReported(const load_aggregate &Aggregate, time_point Now);
+
+  /// What this host tells others.
+  load_exchange &exchange() { return Exchange; }
+  const load_exchange &exchange() const { return Exchange; }
+  /// Own requests at each server.
+  load_list ownLoad() const;
 
   /// Servers whose ejection began or ended since the last call.
   std::vector<pool_change> takeChanges();
@@ -128,25 +130,16 @@
     /// Set while the list does not show the server after an outage.
     std::optional<time_point> MissingSince;
     std::uint32_t OwnInFlight = 0;
-    /// Of other hosts of the own data centre, and of other data centres.
-    std::uint32_t NearInFlight = 0;
-    std::uint32_t FarInFlight = 0;
-    float UnreportedGood = 0;
-    float UnreportedBad = 0;
     bool Used = false;
     bool Ejected = false;
   };
-  struct peer_load {
-    std::vector<std::pair<std::uint32_t, std::uint16_t>> InFlight;
-    time_point At{};
-  };
-
   std::uint32_t indexFor(const listed_server &Server, time_point Now,
                          std::vector<pool_change> &Changes);
   void show(const listed_server &Server, time_point Now,
             std::vector<pool_change> &Changes);
-  void forgetServer(std::uint32_t Index);
   void remove(std::uint32_t Index, std::vector<pool_change> &Changes);
+  /// Removes what is not listed any more, unless it may yet return.
+  void removeMissing(time_point Now, std::vector<pool_change> &Changes);
   void collectUsable(const service_id &Service,
                      std::span<const backend_server_id> Excluded,
                      bool IsLastChance, time_point Now);
@@ -157,29 +150,21 @@
   static double failureShare(const entry &Entry, time_point Now);
   void passOverFailing(std::size_t Usable);
   void setEjected(entry &Entry, bool Ejected, double FailureShare);
-  using load_counter = std::uint32_t entry::*;
-  void replaceLoad(peer_load &Load, load_counter Counter,
-                   const std::vector<server_report> &Servers, time_point Now);
-  void forget(peer_load &Load, load_counter Counter);
-  template <typename Id>
-  void expire(std::map<Id, peer_load> &Loads, load_counter Counter,
-              time_point Now);
-  void expireLoads(time_point Now);
+  void addShared(const backend_server_id &Server, float Good, float Bad,
+                 time_point Now);
 
   server_pool_options Options;
   std::vector<entry> Entries;
   std::vector<std::uint32_t> FreeIndexes;
   std::unordered_map<backend_server_id, std::uint32_t> Indexes;
   std::unordered_map<service_id, std::vector<std::uint32_t>> Services;
-  std::map<host_id, peer_load> NearHosts;
-  std::map<data_centre_id, peer_load> FarDataCentres;
+  load_exchange Exchange;
   std::vector<pool_change> Changes;
   /// Storage of `take`, kept to save allocations.
   std::vector<server_candidate> Candidates;
   bool Listed = false;
   std::optional<time_point> OutageEnd;
   store_revision Revision;
-  bool NewFailure = false;
 };
 
 } // namespace bw
--- a/modules/bw_gateway_daemon/decide/gateway_decide_service.cpp
+++ b/modules/bw_gateway_daemon/decide/gateway_decide_service.cpp
@@ -37,24 +37,37 @@
   Thread.join();
 }
 
+bool gateway_decide_service::hasLoad() const {
+  return Engine.openRequests() > 0 || Engine.exchange().hasNearLoad();
+}
+
 time_point gateway_decide_service::nextReport() const {
-  if (Engine.hasNewFailure())
+  if (Engine.exchange().hasNewFailure())
     return LastReport + UrgentInterval;
-  if (Engine.openRequests() > 0 || HasReportedLoad)
+  if (hasLoad() || HasReportedLoad)
     return LastReport + ReportInterval;
   return time_point::max();
 }
 
 void gateway_decide_service::report(time_point Now) {
-  const bool IsUrgent = Engine.hasNewFailure();
-  HasReportedLoad = Engine.openRequests() > 0;
+  const load_exchange &Exchange = Engine.exchange();
+  const bool IsUrgent = Exchange.hasNewFailure();
+  HasReportedLoad = hasLoad();
   LastReport = Now;
-  own_report Report{.DataCentreLoad = {},
-                    .Servers = Engine.takeReport(),
+  own_report Report{.Summary = {},
+                    .Aggregate = {},
+                    .Observations = Engine.takeReport(),
                     .IsUrgent = IsUrgent};
-  if (Peers->isSummarizer() && Now - LastSummary >= SummaryInterval) {
-    LastSummary = Now;
-    Report.DataCentreLoad = Engine.ownDataCentreLoad(Now);
+  if (Exchange.sendsAggregates(Now) && Now - LastAggregate >= ReportInterval) {
+    LastAggregate = Now;
+    Report.Aggregate = Engine.takeAggregate(true);
+    const bool IsSummaryDue = Now - LastSummary >= SummaryInterval;
+    if (Exchange.duty().IsFirst &&
+        (IsSummaryDue || Exchange.hasFailureForFar())) {
+      Report.Summary = Engine.takeSummary(IsSummaryDue);
+      if (IsSummaryDue)
+        LastSummary = Now;
+    }
   }
   Peers->reports().push(std::move(Report));
 }
--- a/modules/bw_gateway_daemon/decide/gateway_decide_service.h
+++ b/modules/bw_gateway_daemon/decide/gateway_decide_service.h
@@ -14,10 +14,10 @@
   gateway_engine_options Engine;
   std::size_t EventCapacity = 8192;
   /// Between two reports to other hosts while there are requests.
-  duration ReportInterval = std::chrono::milliseconds(120);
+  duration ReportInterval = std::chrono::milliseconds(80);
   /// A failure is told after this time, together with others.
   duration UrgentInterval = std::chrono::milliseconds(40);
-  /// Between two summaries for other data centres, of one host in each.
+  /// Between two sums of load for other data centres, of one host in each.
   duration SummaryInterval = std::chrono::milliseconds(300);
 };
 
@@ -43,6 +43,7 @@
 
 private:
   void run();
+  bool hasLoad() const;
   time_point nextReport() const;
   void report(time_point Now);
 
@@ -55,6 +56,7 @@
   gateway_command_ring *Commands = nullptr;
   peer_report_service *Peers = nullptr;
   time_point LastReport{};
+  time_point LastAggregate{};
   time_point LastSummary{};
   /// The last report named requests in flight, so others must hear of their
   /// end.
--- a/modules/bw_gateway_daemon/follow/configuration_follower.cpp
+++ b/modules/bw_gateway_daemon/follow/configuration_follower.cpp
@@ -58,6 +58,9 @@
       State->offerConfiguration(Result.Configuration);
     return duration::zero();
   case watch_end::Unchanged:
+    // Before the first configuration there is a revision to watch from, too.
+    if (!Watched)
+      Watched = Result.Revision;
     // The next watch begins at the same revision: a change that the store kept
     // from this one, as it may while it drops its history, is then told at
     // once, or the history is found to be gone.
--- a/modules/bw_gateway_daemon/follow/host_follower.cpp
+++ b/modules/bw_gateway_daemon/follow/host_follower.cpp
@@ -3,6 +3,8 @@
 #include "bw_kernel/log/log_event.h"
 #include "bw_kernel/services/service_registry.h"
 
+#include <algorithm>
+
 using namespace bw;
 
 host_follower::host_follower(runtime_clock &Clock,
@@ -22,7 +24,18 @@
   Thread.stop();
 }
 
+// An aggregator tells this host of the others, and this host among them.
+bool host_follower::isOthersDuty() {
+  const std::vector<gateway_host> Known = State->hosts();
+  return std::find(Known.begin(), Known.end(), State->self()) != Known.end() &&
+         State->withHosts([&](host_directory &Hosts, random_source &) {
+           return !Hosts.followsStore(Clock.now());
+         });
+}
+
 duration host_follower::round() {
+  if (isOthersDuty())
+    return Options.Interval;
   const auto Hosts = Options.Source.ReadHosts();
   if (!Hosts)
     return Options.RetryPause;
--- a/modules/bw_gateway_daemon/follow/host_follower.h
+++ b/modules/bw_gateway_daemon/follow/host_follower.h
@@ -32,6 +32,7 @@
   void stop() override;
 
 private:
+  bool isOthersDuty();
   duration round();
   void removeGone();
 
--- a/modules/bw_gateway_daemon/follow/platform_state.cpp
+++ b/modules/bw_gateway_daemon/follow/platform_state.cpp
@@ -4,6 +4,7 @@
 #include "bw_kernel/services/service_registry.h"
 
 #include <algorithm>
+#include <set>
 
 using namespace bw;
 
@@ -27,12 +28,31 @@
   return list_digest(Result);
 }
 
-// Parts of the bound. When both readers of a data centre die with the news, it
-// takes 0.75 of the bound until another host reads; the rest is for the calls.
+// The hosts of a list, and this one.
+list_digest digestOf(const std::vector<gateway_host> &Hosts,
+                     const gateway_host &Self) {
+  std::set<host_id> Names = {Self.Host};
+  for (const gateway_host &Each : Hosts)
+    Names.insert(Each.Host);
+  std::uint64_t Result = 0;
+  for (const host_id &Each : Names)
+    Result = mixHash(Result, stableHash(Each.value()));
+  return list_digest(Result);
+}
+
+// Parts of the bound. When both aggregators of a data centre die with the news,
+// it takes 0.75 of the bound until another host reads; the rest is for the
+// calls.
 constexpr double ReadIntervalShare = 0.45;
+constexpr double ReadBehindFirstShare = 0.53;
 constexpr double ReadWhenOlderShare = 0.6;
 constexpr double ReadSpreadShare = 0.15;
 
+// An entry lapses after three heartbeats of silence. Its server may have
+// renewed it up to one heartbeat before an outage, so a shorter one removes
+// none.
+constexpr int OutageHeartbeats = 2;
+
 duration part(duration Whole, double Share) {
   return std::chrono::duration_cast<duration>(Whole * Share);
 }
@@ -43,11 +63,12 @@
                                platform_state_options GivenOptions)
     : service(std::string(ServiceName)), Clock(Clock),
       Options(std::move(GivenOptions)), Random(Options.Seed),
-      Directory({.Self = Options.Self.Host,
-                 .DataCentre = Options.Self.DataCentre,
-                 .ReadInterval = part(Options.DrainBound, ReadIntervalShare),
-                 .ReadWhenOlder = part(Options.DrainBound, ReadWhenOlderShare),
-                 .ReadSpread = part(Options.DrainBound, ReadSpreadShare)}) {}
+      Directory(
+          {.Self = Options.Self,
+           .ReadInterval = part(Options.DrainBound, ReadIntervalShare),
+           .ReadBehindFirst = part(Options.DrainBound, ReadBehindFirstShare),
+           .ReadWhenOlder = part(Options.DrainBound, ReadWhenOlderShare),
+           .ReadSpread = part(Options.DrainBound, ReadSpreadShare)}) {}
 
 void platform_state::attach(service_registry &Registry) {
   Decide = &Registry.find<gateway_event_sink>(gateway_event_sink::ServiceName)
@@ -59,6 +80,7 @@
   const time_point Now = Clock.now();
   Directory.listRead(Now);
   takeServers(std::move(Offered), Now);
+  OnServersRead();
 }
 
 void platform_state::offerServers(servers_listed Offered, duration Age) {
@@ -72,8 +94,8 @@
   if (Servers) {
     const time_point Now = Clock.now();
     Directory.ownState(ownStateLocked(), Now);
-    Offered.IsAfterOutage =
-        ReadAt - Directory.listConfirmedAt(Now) > Options.OutageAfter;
+    Offered.IsAfterOutage = ReadAt - Directory.listConfirmedAt() >
+                            OutageHeartbeats * Options.HeartbeatInterval;
   }
   Digest = digestOf(Offered.Servers);
   ServersReadAt = ServersReadAt ? std::max(*ServersReadAt, ReadAt) : ReadAt;
@@ -97,6 +119,7 @@
   if (Offered == Hosts)
     return;
   Hosts = Offered;
+  HostsDigest = digestOf(Hosts, Options.Self);
   Directory.listed(Hosts, Clock.now());
   Decide->push(hosts_counted{
       .Hosts = static_cast<std::uint32_t>(Directory.listedHosts() + 1)});
@@ -112,7 +135,8 @@
           .ListRevision = Servers ? Servers->Revision : store_revision(),
           .ListDigest = Digest,
           .ListAge =
-              ServersReadAt ? Clock.now() - *ServersReadAt : duration::max()};
+              ServersReadAt ? Clock.now() - *ServersReadAt : duration::max(),
+          .HostsDigest = HostsDigest};
 }
 
 host_state platform_state::ownState() const {
--- a/modules/bw_gateway_daemon/follow/platform_state.h
+++ b/modules/bw_gateway_daemon/follow/platform_state.h
@@ -16,8 +16,8 @@
 struct platform_state_options {
   /// This host, as others reach it.
   gateway_host Self;
-  /// Without a list for this long, entries may have lapsed that come back.
-  duration OutageAfter = std::chrono::milliseconds(2500);
+  /// How often servers renew their entries in the list.
+  duration HeartbeatInterval = std::chrono::milliseconds(1500);
   /// The platform's bound on requests to a server after its leaving was
   /// announced; how often the list is read follows from it.
   duration DrainBound = std::chrono::seconds(2);
@@ -49,6 +49,10 @@
   void setOnConfiguration(std::function<void()> Hook) {
     OnConfiguration = std::move(Hook);
   }
+  /// The same after a reading of the list of servers from the store.
+  void setOnServersRead(std::function<void()> Hook) {
+    OnServersRead = std::move(Hook);
+  }
   void heard(const host_id &Host, const host_state &State);
 
   const gateway_host &self() const { return Options.Self; }
@@ -73,10 +77,12 @@
   platform_state_options Options;
   gateway_event_ring *Decide = nullptr;
   std::function<void()> OnConfiguration = [] {};
+  std::function<void()> OnServersRead = [] {};
   mutable std::mutex Mutex;
   random_source Random;
   host_directory Directory;
   std::vector<gateway_host> Hosts;
+  list_digest HostsDigest;
   std::shared_ptr<const servers_listed> Servers;
   list_digest Digest;
   std::optional<time_point> ServersReadAt;
--- a/modules/bw_gateway_daemon/peers/exchange_messages.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_messages.cpp
@@ -49,6 +49,54 @@
   return Result;
 }
 
+// Numbers that no host can have seen would poison the filters for good.
+void checkOutcomes(float Good, float Bad) {
+  constexpr float MostOutcomes = 1000;
+  if (!(Good >= 0 && Good <= MostOutcomes && Bad >= 0 && Bad <= MostOutcomes))
+    throw exchange_error("impossible number of outcomes");
+}
+
+std::uint16_t shortCount(std::uint32_t Count) {
+  return static_cast<std::uint16_t>(std::min<std::uint32_t>(
+      Count, std::numeric_limits<std::uint16_t>::max()));
+}
+
+void encodeAggregate(const load_aggregate &Aggregate,
+                     exchange::host_report &Result) {
+  Result.set_is_aggregate(true);
+  Result.set_has_load(Aggregate.HasLoad);
+  for (const aggregated_load &Each : Aggregate.Servers) {
+    auto *Server = Result.add_aggregate();
+    Server->set_server(Each.Server.value());
+    Server->set_near(Each.Near);
+    Server->set_far(Each.Far);
+    Server->set_good(Each.Good);
+    Server->set_bad(Each.Bad);
+  }
+  for (const auto &[Host, Number] : Aggregate.Included) {
+    auto *Included = Result.add_included();
+    Included->set_host(Host.value());
+    Included->set_number(Number.value());
+  }
+}
+
+load_aggregate decodeAggregate(const exchange::host_report &Report) {
+  load_aggregate Result{
+      .HasLoad = Report.has_load(), .Servers = {}, .Included = {}};
+  for (const auto &Each : Report.included())
+    Result.Included.emplace_back(host_id(Each.host()),
+                                 report_number(Each.number()));
+  for (const auto &Each : Report.aggregate()) {
+    checkOutcomes(Each.good(), Each.bad());
+    Result.Servers.push_back({.Server = backend_server_id(Each.server()),
+                              .Near = shortCount(Each.near()),
+                              .Far = shortCount(Each.far()),
+                              .Good = Each.good(),
+                              .Bad = Each.bad()});
+  }
+  return Result;
+}
+
 gateway_route decodeRoute(const exchange::route_record &Route) {
   gateway_route Result{.Id = route_id(Route.id()),
                        .VirtualHost = Route.virtual_host(),
@@ -81,9 +129,18 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(
           Report.State.ListAge)
           .count()));
+  Result.set_hosts_digest(Report.State.HostsDigest.value());
+  if (Report.Aggregate) {
+    encodeAggregate(*Report.Aggregate, Result);
+    return Result.SerializeAsString();
+  }
   Result.set_has_load(Report.Observations.HasLoad);
-  if (Report.Summary)
+  Result.set_number(Report.Observations.Number.value());
+  Result.set_is_broadcast(Report.Observations.IsBroadcast);
+  if (Report.Summary) {
     Result.set_summary_of(Report.Summary->DataCentre.value());
+    Result.set_has_load(Report.Summary->HasLoad);
+  }
   for (const server_report &Each :
        Report.Summary ? Report.Summary->Servers : Report.Observations.Servers) {
     auto *Server = Result.add_servers();
@@ -99,29 +156,34 @@
   const auto Report = parse<exchange::host_report>(Bytes);
   host_report Result{
       .Observations = {.Host = host_id(Report.host()),
+                       .Number = report_number(Report.number()),
                        .HasLoad = Report.has_load(),
+                       .IsBroadcast = Report.is_broadcast(),
                        .Servers = {}},
       .Summary = {},
+      .Aggregate = {},
       .State = {.Version = config_version(Report.configuration_version()),
                 .ListRevision = store_revision(Report.list_revision()),
                 .ListDigest = list_digest(Report.list_digest()),
                 .ListAge = std::chrono::milliseconds(std::min<std::uint64_t>(
-                    Report.list_age(), LongestAge.count()))}};
-  // Numbers that no host can have seen would poison the filters for good.
-  constexpr float MostOutcomes = 1000;
+                    Report.list_age(), LongestAge.count())),
+                .HostsDigest = list_digest(Report.hosts_digest())}};
+  if (Report.is_aggregate()) {
+    Result.Observations.HasLoad = false;
+    Result.Aggregate = decodeAggregate(Report);
+    return Result;
+  }
   for (const auto &Each : Report.servers()) {
-    if (!(Each.good() >= 0 && Each.good() <= MostOutcomes && Each.bad() >= 0 &&
-          Each.bad() <= MostOutcomes))
-      throw exchange_error("impossible number of outcomes");
+    checkOutcomes(Each.good(), Each.bad());
     Result.Observations.Servers.push_back(
         {.Server = backend_server_id(Each.server()),
          .Good = Each.good(),
          .Bad = Each.bad(),
-         .InFlight = static_cast<std::uint16_t>(std::min<std::uint32_t>(
-             Each.in_flight(), std::numeric_limits<std::uint16_t>::max()))});
+         .InFlight = shortCount(Each.in_flight())});
   }
   if (!Report.summary_of().empty())
     Result.Summary = {.DataCentre = data_centre_id(Report.summary_of()),
+                      .HasLoad = Report.has_load(),
                       .Servers = std::move(Result.Observations.Servers)};
   return Result;
 }
@@ -201,6 +263,7 @@
     Host->set_ip(Each.Ip);
     Host->set_report_port(Each.ReportPort);
     Host->set_exchange_port(Each.ExchangePort);
+    Host->set_processor_share(Each.ProcessorShare.value());
   }
   return Result.SerializeAsString();
 }
@@ -214,6 +277,7 @@
          .DataCentre = data_centre_id(Each.data_centre()),
          .Ip = Each.ip(),
          .ReportPort = static_cast<std::uint16_t>(Each.report_port()),
-         .ExchangePort = static_cast<std::uint16_t>(Each.exchange_port())});
+         .ExchangePort = static_cast<std::uint16_t>(Each.exchange_port()),
+         .ProcessorShare = ratio(Each.processor_share())});
   return Result;
 }
--- a/modules/bw_gateway_daemon/peers/exchange_messages.h
+++ b/modules/bw_gateway_daemon/peers/exchange_messages.h
@@ -21,11 +21,14 @@
   std::string_view code() const override { return "exchange_invalid"; }
 };
 
-/// What a host tells the others several times a second.
+/// What a host tells others several times a second. At most one of the optional
+/// parts is set, and then there are no observations.
 struct host_report {
   peer_reported Observations;
-  /// Set instead of observations: the load of the sender's data centre.
+  /// For the aggregators of other data centres.
   std::optional<load_summary> Summary;
+  /// For the hosts of the own data centre.
+  std::optional<load_aggregate> Aggregate;
   host_state State;
 };
 
--- a/modules/bw_gateway_daemon/peers/peer_report_service.cpp
+++ b/modules/bw_gateway_daemon/peers/peer_report_service.cpp
@@ -7,6 +7,7 @@
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/udp.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <array>
 
@@ -20,12 +21,20 @@
 // The store tells those that follow it of a change within some 50 ms; only one
 // that it does not reach is still behind after this.
 constexpr duration PatienceWithStore = std::chrono::milliseconds(300);
+// A notice also goes to this many random hosts near and far, so that news
+// spreads past aggregators that are dead or cut off.
+constexpr std::size_t NoticesNear = 4;
+constexpr std::size_t NoticesFar = 2;
 
 } // namespace
 
 struct peer_report_service::socket_state {
-  asio::io_context Context;
+  asio::io_context Context{1};
   udp::socket Socket{Context};
+  asio::steady_timer GatherTimer{Context};
+  /// Of the sending thread alone.
+  asio::io_context SendContext{1};
+  udp::socket SendSocket{SendContext};
   std::array<char, LargestReport> Buffer{};
 };
 
@@ -44,13 +53,19 @@
                 .events();
   State = &Registry.find<platform_state>(platform_state::ServiceName);
   // Hosts that do not follow the store themselves wait for this news.
-  State->setOnConfiguration([this] {
-    Reports.tryPush({.DataCentreLoad = {}, .Servers = {}, .IsNotice = true});
-  });
+  State->setOnConfiguration([this] { order(own_report::notice::Everywhere); });
+  // Otherwise idle hosts would hear too late that their list is the newest, and
+  // read it themselves.
+  State->setOnServersRead([this] { order(own_report::notice::Near); });
   Fetch = &Registry.find<exchange_fetch_service>(
       exchange_fetch_service::ServiceName);
 }
 
+void peer_report_service::order(own_report::notice Reach) {
+  Reports.tryPush(
+      {.Summary = {}, .Aggregate = {}, .Observations = {}, .Notice = Reach});
+}
+
 void peer_report_service::start() {
   asio::error_code Code;
   const auto Address = asio::ip::make_address(Options.Address, Code);
@@ -60,68 +75,134 @@
     Socket->Socket.bind({Address, Options.Port}, Code);
   if (!Code)
     Socket->Socket.non_blocking(true, Code);
+  if (!Code)
+    Socket->SendSocket.open(udp::v4(), Code);
+  if (!Code)
+    Socket->SendSocket.bind({Address, 0}, Code);
   if (Code)
     throw listen_error(Options.Address, Options.Port, Code.message());
-  Thread = std::thread([this] { run(); });
+  receiveNext();
+  Receiver = std::thread([this] { Socket->Context.run(); });
+  Sender = std::thread([this] { sendAll(); });
 }
 
 void peer_report_service::stop() {
-  if (!Thread.joinable())
+  if (!Sender.joinable())
     return;
   Reports.close();
-  Thread.join();
+  Sender.join();
+  Socket->Context.stop();
+  Receiver.join();
 }
 
-void peer_report_service::run() {
+void peer_report_service::sendAll() {
   while (!Reports.isClosed()) {
-    const auto Report = Reports.pop(Clock.now() + Options.GatherTime);
-    if (Report)
-      send(*Report);
+    auto Report = Reports.pop(Clock.now() + Options.DutyInterval);
+    noteDuty();
+    if (Report && Report->Notice != own_report::notice::None)
+      sendNotice(Report->Notice);
+    else if (Report)
+      send(std::move(*Report));
     else if (Clock.now() - LastSent >= Options.SilentInterval)
       send({});
-    receiveAll();
-    orderMissing();
   }
 }
 
-void peer_report_service::send(const own_report &Report) {
-  host_report Message;
-  Message.Observations.Host = State->self().Host;
-  Message.Observations.HasLoad = !Report.IsNotice;
-  Message.Observations.Servers = Report.Servers;
-  Message.State = State->ownState();
+void peer_report_service::receiveNext() {
+  Socket->Socket.async_wait(
+      udp::socket::wait_read, [this](asio::error_code Code) {
+        if (Code)
+          return;
+        receiveAll();
+        orderMissing();
+        if (!IsAggregator)
+          return receiveNext();
+        Socket->GatherTimer.expires_after(Options.GatherTime);
+        Socket->GatherTimer.async_wait([this](asio::error_code Cancelled) {
+          if (!Cancelled)
+            receiveNext();
+        });
+      });
+}
+
+// The decide duty sums up reports only while this host is an aggregator.
+void peer_report_service::noteDuty() {
+  const exchange_duty Now =
+      State->withHosts([&](host_directory &Hosts, random_source &) {
+        return Hosts.duty(Clock.now());
+      });
+  if (Now == Duty)
+    return;
+  Duty = Now;
+  IsAggregator = Duty.IsAggregator;
+  logEvent(log_event::ExchangeDutyChanged,
+           {{"aggregator", Duty.IsAggregator ? "1" : "0"},
+            {"first", Duty.IsFirst ? "1" : "0"}});
+  Decide->push(Duty);
+}
+
+host_report peer_report_service::emptyReport() const {
+  host_report Result;
+  Result.Observations.Host = State->self().Host;
+  Result.Observations.HasLoad = false;
+  Result.State = State->ownState();
+  return Result;
+}
+
+void peer_report_service::send(own_report Report) {
   std::vector<gateway_host> Near;
+  std::vector<gateway_host> Aggregators;
   std::vector<gateway_host> Far;
+  const bool IsSilent =
+      !Report.Aggregate && Report.Observations.Servers.empty();
   State->withHosts([&](host_directory &Hosts, random_source &Chance) {
-    Near = Hosts.targetsNear(Chance);
-    if (Report.IsUrgent || Report.IsNotice)
-      Far = Hosts.targetsFar(Chance);
-    Summarizer = Hosts.isSummarizer(Clock.now());
+    const time_point Now = Clock.now();
+    if (Report.IsUrgent || Report.Aggregate || (IsSilent && Duty.IsAggregator))
+      Near = Hosts.hostsNear(Chance);
+    Aggregators = Hosts.aggregatorsNear(Now, Chance);
+    // The aggregators of other data centres must know this one to be live.
+    if (Duty.IsAggregator &&
+        (Report.Summary || Now - LastSentFar >= Options.SilentInterval)) {
+      Far = Hosts.aggregatorsFar(Now, Chance);
+      LastSentFar = Now;
+    }
     return 0;
   });
   LastSent = Clock.now();
-  sendTo(Near, encodeReport(Message));
-  if (!Far.empty()) {
-    // Bytes between data centres are costly: only failures are told there.
-    Message.Observations.HasLoad = false;
-    std::erase_if(Message.Observations.Servers,
-                  [](const server_report &Each) { return Each.Bad == 0; });
-    sendTo(Far, encodeReport(Message));
+  host_report Observations = emptyReport();
+  Observations.Observations = std::move(Report.Observations);
+  Observations.Observations.Host = State->self().Host;
+  Observations.Observations.IsBroadcast = Report.IsUrgent;
+  sendTo(Report.IsUrgent || (IsSilent && Duty.IsAggregator) ? Near
+                                                            : Aggregators,
+         encodeReport(Observations));
+  if (Report.Aggregate) {
+    host_report Sums = emptyReport();
+    Sums.Aggregate = std::move(Report.Aggregate);
+    sendTo(Near, encodeReport(Sums));
   }
-  if (Report.DataCentreLoad)
-    sendSummary(*Report.DataCentreLoad);
+  host_report Summary = emptyReport();
+  Summary.Summary = std::move(Report.Summary);
+  sendTo(Far, encodeReport(Summary));
 }
 
-void peer_report_service::sendSummary(const std::vector<server_report> &Load) {
-  host_report Message;
-  Message.Observations.Host = State->self().Host;
-  Message.Summary =
-      load_summary{.DataCentre = State->self().DataCentre, .Servers = Load};
-  Message.State = State->ownState();
-  sendTo(State->withHosts([](host_directory &Hosts, random_source &Chance) {
-    return Hosts.targetsFar(Chance);
-  }),
-         encodeReport(Message));
+void peer_report_service::sendNotice(own_report::notice Reach) {
+  std::vector<gateway_host> Targets;
+  const auto Add = [&](const std::vector<gateway_host> &More) {
+    Targets.insert(Targets.end(), More.begin(), More.end());
+  };
+  State->withHosts([&](host_directory &Hosts, random_source &Chance) {
+    if (Duty.IsAggregator)
+      Add(Hosts.hostsNear(Chance));
+    if (Reach == own_report::notice::Near)
+      return 0;
+    const time_point Now = Clock.now();
+    Add(Hosts.someHosts(NoticesNear, NoticesFar, Chance));
+    Add(Duty.IsAggregator ? Hosts.aggregatorsFar(Now, Chance)
+                          : Hosts.aggregatorsNear(Now, Chance));
+    return 0;
+  });
+  sendTo(Targets, encodeReport(emptyReport()));
 }
 
 void peer_report_service::sendTo(const std::vector<gateway_host> &Targets,
@@ -131,8 +212,8 @@
     const auto Address = asio::ip::make_address(Each.Ip, Code);
     // A lost or refused datagram is replaced by the next report.
     if (!Code)
-      Socket->Socket.send_to(asio::buffer(Bytes), {Address, Each.ReportPort}, 0,
-                             Code);
+      Socket->SendSocket.send_to(asio::buffer(Bytes),
+                                 {Address, Each.ReportPort}, 0, Code);
   }
 }
 
@@ -160,6 +241,8 @@
   State->heard(Report.Observations.Host, Report.State);
   if (Report.Summary)
     Decide->push(std::move(*Report.Summary));
+  else if (Report.Aggregate)
+    Decide->push(std::move(*Report.Aggregate));
   else if (!Report.Observations.Servers.empty() || Report.Observations.HasLoad)
     Decide->push(std::move(Report.Observations));
 }
@@ -170,6 +253,9 @@
   State->withHosts([&](host_directory &Hosts, random_source &) {
     if (const auto Holder = Hosts.newerServers(Now))
       Fetch->order({.Wanted = exchange_item::Servers, .From = *Holder});
+    if (!Hosts.followsStore(Now))
+      if (const auto Holder = Hosts.otherHosts(Now))
+        Fetch->order({.Wanted = exchange_item::Hosts, .From = *Holder});
     const auto Holder = Hosts.newerConfiguration(Now);
     if (!Holder) {
       BehindSince.reset();
--- a/modules/bw_kernel/log/log_event.h
+++ b/modules/bw_kernel/log/log_event.h
@@ -48,6 +48,7 @@
   PeerRefused = 1303,
   OwnershipYielded = 1304,
   PeerConnectionSilent = 1305,
+  ExchangeDutyChanged = 1306,
   // 1400: configuration and the platform's service.
   ConfigurationInForce = 1400,
   ConfigurationRefused = 1401,
