--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -192,9 +192,9 @@
   if (!Ended)
     return;
   double &Declined = DeclinedShares[Request.Service];
-  Declined += NewestDeclineWeight *
-              ((Event.Outcome == attempt_outcome::NotExecuted ? 1 : 0) -
-               Declined);
+  Declined +=
+      NewestDeclineWeight *
+      ((Event.Outcome == attempt_outcome::NotExecuted ? 1 : 0) - Declined);
   switch (Event.Outcome) {
   case attempt_outcome::Answered:
     return answered(Found, Event, *Ended, Now, Out);
