Add an emulator of the platform's store and of backend servers

Change: bw_emulator holds a versioned store and backend servers with slots and gray failures in the project's words; platform/emulator speaks the store's protocol on it and writes settings files. The relay takes commands from code.

--- /dev/null
+++ b/modules/bw_emulator/store/versioned_store.cpp
@@ -0,0 +1,92 @@
+#include "bw_emulator/store/versioned_store.h"
+
+using namespace bw;
+
+void versioned_store::record(const std::string &Kind, object Object,
+                             bool IsRemoved) {
+  Revision = Revision.next();
+  Object.Revision = Revision;
+  if (IsRemoved)
+    Kinds[Kind].erase(Object.Name);
+  else
+    Kinds[Kind][Object.Name] = Object;
+  History.push_back(
+      {.Kind = Kind,
+       .Change = {.Object = std::move(Object), .IsRemoved = IsRemoved}});
+}
+
+versioned_store::outcome versioned_store::create(const std::string &Kind,
+                                                 const std::string &Name,
+                                                 std::string Value) {
+  if (get(Kind, Name))
+    return outcome::Exists;
+  record(Kind, {.Name = Name, .Value = std::move(Value)}, false);
+  return outcome::Done;
+}
+
+versioned_store::outcome
+versioned_store::replace(const std::string &Kind, const std::string &Name,
+                         std::string Value,
+                         std::optional<store_revision> Expected) {
+  const auto Known = get(Kind, Name);
+  if (!Known)
+    return outcome::Absent;
+  if (Expected && Known->Revision != *Expected)
+    return outcome::Conflict;
+  if (Known->Value != Value)
+    record(Kind, {.Name = Name, .Value = std::move(Value)}, false);
+  return outcome::Done;
+}
+
+void versioned_store::put(const std::string &Kind, const std::string &Name,
+                          std::string Value) {
+  if (replace(Kind, Name, Value) == outcome::Absent)
+    create(Kind, Name, std::move(Value));
+}
+
+versioned_store::outcome versioned_store::remove(const std::string &Kind,
+                                                 const std::string &Name) {
+  auto Known = get(Kind, Name);
+  if (!Known)
+    return outcome::Absent;
+  record(Kind, std::move(*Known), true);
+  return outcome::Done;
+}
+
+std::optional<versioned_store::object>
+versioned_store::get(const std::string &Kind, const std::string &Name) const {
+  const auto OfKind = Kinds.find(Kind);
+  if (OfKind == Kinds.end())
+    return std::nullopt;
+  const auto Found = OfKind->second.find(Name);
+  if (Found == OfKind->second.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+std::vector<versioned_store::object>
+versioned_store::list(const std::string &Kind) const {
+  std::vector<object> Result;
+  const auto OfKind = Kinds.find(Kind);
+  if (OfKind != Kinds.end())
+    for (const auto &[Name, Object] : OfKind->second)
+      Result.push_back(Object);
+  return Result;
+}
+
+std::optional<std::vector<versioned_store::change>>
+versioned_store::changesAfter(const std::string &Kind,
+                              store_revision After) const {
+  if (After < HistoryStart)
+    return std::nullopt;
+  std::vector<change> Result;
+  for (const recorded_change &Each : History)
+    if (Each.Kind == Kind && Each.Change.Object.Revision > After)
+      Result.push_back(Each.Change);
+  return Result;
+}
+
+void versioned_store::dropHistory() {
+  History.clear();
+  HistoryStart = Revision;
+}
--- a/modules/bw_stand_ins/relay/fault_relay.cpp
+++ b/modules/bw_stand_ins/relay/fault_relay.cpp
@@ -7,6 +7,7 @@
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <asio/read_until.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
@@ -376,6 +377,11 @@
       Thread.join();
   }
 
+  void apply(std::string Line) {
+    asio::post(State.Context,
+               [this, Line = std::move(Line)] { runCommand(Line); });
+  }
+
   std::uint16_t Port = 0;
   std::uint16_t ControlPort = 0;
 
@@ -465,6 +471,10 @@
 
 void fault_relay::stop() { Implementation->stop(); }
 
+void fault_relay::apply(std::string Line) {
+  Implementation->apply(std::move(Line));
+}
+
 std::uint16_t fault_relay::port() const { return Implementation->Port; }
 
 std::uint16_t fault_relay::controlPort() const {
--- a/modules/bw_stand_ins/relay/fault_relay.h
+++ b/modules/bw_stand_ins/relay/fault_relay.h
@@ -43,6 +43,9 @@
   /// Closes all connections.
   void stop();
 
+  /// A line as for the control port; what it answers is lost. Thread-safe.
+  void apply(std::string Line);
+
   /// Valid after `start`.
   std::uint16_t port() const;
   std::uint16_t controlPort() const;
