Move virtual time and links to a module of their own

Cause: a simulation of the gateway fleet needs the event queue and the link model of bw_measurement, but cannot link that module: bw_delivery and bw_gateway both define types named cancel_attempt and attempt_outcome. Change: both classes move to bw_simulation; no behaviour changes. Conclusion: one event queue and one link model serve both simulations.

--- a/modules/bw_measurement/bw_measurement.h
+++ b/modules/bw_measurement/bw_measurement.h
@@ -4,20 +4,18 @@
 /// `runner/measurement.cpp`. The same seed prints the same figures.
 ///
 /// Depends on: bw_core, bw_detection, bw_delivery, bw_membership,
-/// bw_configuration.
+/// bw_configuration, bw_simulation.
 #ifndef BW_MEASUREMENT_BW_MEASUREMENT_H
 #define BW_MEASUREMENT_BW_MEASUREMENT_H
 
 #include "bw_measurement/delivery/delivery_ledger.h"
 #include "bw_measurement/delivery/delivery_measurement.h"
-#include "bw_measurement/delivery/event_queue.h"
 #include "bw_measurement/delivery/fault_host.h"
 #include "bw_measurement/delivery/fault_messages.h"
 #include "bw_measurement/delivery/fault_network.h"
 #include "bw_measurement/delivery/fault_options.h"
 #include "bw_measurement/delivery/fault_store.h"
 #include "bw_measurement/delivery/leaving_network.h"
-#include "bw_measurement/delivery/link_model.h"
 #include "bw_measurement/delivery/version_network.h"
 #include "bw_measurement/detection/balancing_policies.h"
 #include "bw_measurement/detection/detection_measurement.h"
--- a/modules/bw_measurement/delivery/fault_network.h
+++ b/modules/bw_measurement/delivery/fault_network.h
@@ -3,10 +3,10 @@
 
 #include "bw_core/random/random_source.h"
 #include "bw_measurement/delivery/delivery_ledger.h"
-#include "bw_measurement/delivery/event_queue.h"
 #include "bw_measurement/delivery/fault_host.h"
 #include "bw_measurement/delivery/fault_options.h"
 #include "bw_measurement/delivery/fault_store.h"
+#include "bw_simulation/time/event_queue.h"
 
 #include <memory>
 #include <vector>
--- a/modules/bw_measurement/delivery/fault_store.h
+++ b/modules/bw_measurement/delivery/fault_store.h
@@ -3,8 +3,8 @@
 
 #include "bw_core/random/random_source.h"
 #include "bw_delivery/submissions/submission_messages.h"
-#include "bw_measurement/delivery/event_queue.h"
 #include "bw_measurement/delivery/fault_options.h"
+#include "bw_simulation/time/event_queue.h"
 
 #include <functional>
 #include <map>
--- a/modules/bw_measurement/delivery/leaving_network.h
+++ b/modules/bw_measurement/delivery/leaving_network.h
@@ -1,9 +1,9 @@
 #ifndef BW_MEASUREMENT_DELIVERY_LEAVING_NETWORK_H
 #define BW_MEASUREMENT_DELIVERY_LEAVING_NETWORK_H
 
-#include "bw_measurement/delivery/event_queue.h"
-#include "bw_measurement/delivery/link_model.h"
 #include "bw_membership/servers/server_directory.h"
+#include "bw_simulation/links/link_model.h"
+#include "bw_simulation/time/event_queue.h"
 
 #include <memory>
 #include <optional>
--- a/modules/bw_measurement/delivery/version_network.h
+++ b/modules/bw_measurement/delivery/version_network.h
@@ -2,8 +2,8 @@
 #define BW_MEASUREMENT_DELIVERY_VERSION_NETWORK_H
 
 #include "bw_configuration/versions/version_tracker.h"
-#include "bw_measurement/delivery/event_queue.h"
-#include "bw_measurement/delivery/link_model.h"
+#include "bw_simulation/links/link_model.h"
+#include "bw_simulation/time/event_queue.h"
 
 #include <memory>
 #include <vector>
--- a/modules/bw_measurement/delivery/link_model.cpp
+++ b/modules/bw_simulation/links/link_model.cpp
@@ -1,4 +1,4 @@
-#include "bw_measurement/delivery/link_model.h"
+#include "bw_simulation/links/link_model.h"
 
 #include <cstdlib>
 
--- a/modules/bw_measurement/delivery/link_model.h
+++ b/modules/bw_simulation/links/link_model.h
@@ -1,5 +1,5 @@
-#ifndef BW_MEASUREMENT_DELIVERY_LINK_MODEL_H
-#define BW_MEASUREMENT_DELIVERY_LINK_MODEL_H
+#ifndef BW_SIMULATION_LINKS_LINK_MODEL_H
+#define BW_SIMULATION_LINKS_LINK_MODEL_H
 
 #include "bw_core/ids/identifiers.h"
 #include "bw_core/ids/time.h"
--- a/modules/bw_measurement/delivery/event_queue.cpp
+++ b/modules/bw_simulation/time/event_queue.cpp
@@ -1,4 +1,4 @@
-#include "bw_measurement/delivery/event_queue.h"
+#include "bw_simulation/time/event_queue.h"
 
 #include <algorithm>
 #include <tuple>
