Give unused servers a share of the requests that is bounded from below

Callers saw a tenth and more of the requests of a service fail or wait in the queues of a part of its servers, while sound servers got nothing for seconds (FLOOR).

Cause: chooseByExpectedDelay takes the least cost, and a server whose failure share rests above that of proven servers, by a burst that has passed, a refusal while it was full, or no outcome at all, costs more than a place in their queues. It gets no request, so its estimate does not change. ProbeShare is divided among all suspected servers and covers none below a share of 0.08. Change: a server that no host is known to have used for 0.5 s gets requests at a rate that grows with the square of the time, from hosts of its data centre, after 1.2 s from all hosts and from requests that cannot be retried. Retryable requests go to servers with a failure share below 0.2, others below 0.12, so that a server that fails now gets none. The hosts divide the rate by their number. Conclusion: the class is an estimate that only use can correct but that prevents use.

--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -53,7 +53,9 @@
 
 gateway_engine::gateway_engine(gateway_engine_options GivenOptions)
     : Options(std::move(GivenOptions)), Random(Options.Seed),
-      Pool(Options.Pool), Hosts(AssumedHosts) {}
+      Pool(Options.Pool), Hosts(AssumedHosts) {
+  Pool.setHosts({.Hosts = Hosts, .LocalHosts = Hosts});
+}
 
 config_version gateway_engine::version() const {
   return Configuration ? Configuration->Version : config_version();
@@ -519,7 +521,10 @@
                         commands &Out) {
   static_cast<void>(Now);
   static_cast<void>(Out);
-  if (Event.Hosts == 0 || Event.Hosts == Hosts)
+  if (Event.Hosts == 0 || Event.LocalHosts == 0)
+    return;
+  Pool.setHosts(Event);
+  if (Event.Hosts == Hosts)
     return;
   Hosts = Event.Hosts;
   // Budgets restart at their initial tokens, so that a change of the number of
--- a/modules/bw_gateway/hosts/host_directory.cpp
+++ b/modules/bw_gateway/hosts/host_directory.cpp
@@ -252,3 +252,9 @@
                  Hosts.begin(), Hosts.end(),
                  [&](const auto &Each) { return isLive(Each.second, Now); }));
 }
+
+std::size_t host_directory::listedLocalHosts() const {
+  return static_cast<std::size_t>(
+      std::count_if(Hosts.begin(), Hosts.end(),
+                    [&](const auto &Each) { return isLocal(Each.second); }));
+}
--- a/modules/bw_gateway/hosts/host_directory.h
+++ b/modules/bw_gateway/hosts/host_directory.h
@@ -123,6 +123,8 @@
   /// Returns the number of live hosts, including this one.
   std::size_t liveHosts(time_point Now) const;
   std::size_t listedHosts() const { return Hosts.size(); }
+  /// Returns the number of other listed hosts of the own data centre.
+  std::size_t listedLocalHosts() const;
 
 private:
   struct entry {
--- a/modules/bw_gateway/messages/gateway_events.h
+++ b/modules/bw_gateway/messages/gateway_events.h
@@ -156,9 +156,11 @@
                          const exchange_duty &) = default;
 };
 
-/// The number of hosts that share the fleet's retry budget.
+/// The numbers of hosts that share the fleet's retry budget and its servers.
 struct hosts_counted {
   std::uint32_t Hosts = 1;
+  /// Hosts of the own data centre, including this one.
+  std::uint32_t LocalHosts = 1;
 };
 
 using gateway_event =
--- a/modules/bw_gateway/servers/server_pool.cpp
+++ b/modules/bw_gateway/servers/server_pool.cpp
@@ -19,6 +19,18 @@
 // of the limit. The hysteresis is needed at the floor, where servers take turns
 // in being left out with every request.
 constexpr double ReturnThresholdFactor = 0.6;
+// Longest time between two requests of a service at this host that counts
+// towards its share of the requests to unused servers.
+constexpr duration MaxRequestGap = std::chrono::seconds(5);
+// Unused servers get retryable requests up to this failure share. A server in a
+// burst or a gray failure is above it; `ProbeShare` finds out when it is over.
+constexpr double MaxRetryableFailureShare = 0.2;
+// The same for requests that cannot be retried. Between its bursts a bursty
+// server has a share of 0.09, and a little more while a gray failure is not
+// ruled out.
+constexpr double MaxFinalFailureShare = 0.12;
+// Bounds the rate at a server whose use this host does not hear of.
+constexpr double MaxLateness = 4;
 // Weights of ambiguous outcomes as failures of the server: one that may lie in
 // this host's network path, and a slow answer.
 constexpr double PathFailureWeight = 0.25;
@@ -145,6 +157,48 @@
   return std::max(Entry.Shared.failureShare(Now), Entry.Own.failureShare(Now));
 }
 
+// The estimate of a server without requests does not change, so a cost that
+// once made it the worse choice would keep it unused while others have room.
+// Each host sends its share of a fleet-wide rate of requests there, at random,
+// since hosts hear of a use only after some 100 ms and would otherwise all go
+// there.
+std::optional<std::uint32_t>
+server_pool::chooseUnused(const service_id &Service, bool IsFinalAttempt,
+                          time_point Now, random_source &Random) {
+  time_point &Last = LastRequests[Service][IsFinalAttempt ? 1 : 0];
+  const duration Gap = std::min(Now - Last, MaxRequestGap);
+  Last = Now;
+  const double MaxFailureShare =
+      IsFinalAttempt ? MaxFinalFailureShare : MaxRetryableFailureShare;
+  Unused.clear();
+  double Expected = 0;
+  for (const server_candidate &Each : Candidates) {
+    const duration After = Each.IsRemote || IsFinalAttempt
+                               ? Options.LateUseInterval
+                               : Options.UseInterval;
+    const duration UnusedFor = Now - Entries[Each.Index].UsedAt;
+    if (UnusedFor < After || Each.FailureShare >= MaxFailureShare)
+      continue;
+    // The rate grows with the time, so that no server waits for long by chance.
+    const double Lateness = std::min(MaxLateness, double(UnusedFor.count()) /
+                                                      double(After.count()));
+    const double Requests = Options.UseRate * Lateness * Lateness *
+                            std::chrono::duration<double>(Gap).count() /
+                            (Each.IsRemote ? Hosts.Hosts : Hosts.LocalHosts);
+    Unused.push_back({.Index = Each.Index, .Requests = Requests});
+    Expected += Requests;
+  }
+  if (!Random.chance(std::min(1.0, Expected)))
+    return std::nullopt;
+  double Left = Random.unit() * Expected;
+  for (const unused_server &Each : Unused) {
+    Left -= Each.Requests;
+    if (Left <= 0)
+      return Each.Index;
+  }
+  return Unused.back().Index;
+}
+
 std::optional<std::uint32_t>
 server_pool::chooseProbe(random_source &Random) const {
   const auto IsSuspect = [](const server_candidate &Each) {
@@ -241,6 +295,8 @@
   collectCandidates(Service, Excluded, IsFinalAttempt, Now);
   if (Candidates.empty())
     return nullptr;
+  if (const auto Found = chooseUnused(Service, IsFinalAttempt, Now, Random))
+    return &use(Entries[*Found], Now);
   if (!IsFinalAttempt && Random.chance(Options.ProbeShare.value()))
     if (const auto Probe = chooseProbe(Random))
       return &use(Entries[*Probe], Now);
--- a/modules/bw_gateway/servers/server_pool.h
+++ b/modules/bw_gateway/servers/server_pool.h
@@ -7,6 +7,7 @@
 #include "bw_gateway/servers/load_exchange.h"
 #include "bw_gateway/servers/server_evidence.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -58,6 +59,16 @@
   /// recovery is detected without losing a request, and a wrongly suspected
   /// server keeps getting requests.
   ratio ProbeShare{0.15};
+  /// A server that no host is known to have used for this long gets the next
+  /// retryable requests of its data centre, whatever it costs compared with
+  /// others.
+  duration UseInterval = std::chrono::milliseconds(500);
+  /// The same for requests that cannot be retried, and for those of other data
+  /// centres.
+  duration LateUseInterval = std::chrono::milliseconds(1200);
+  /// Requests per second that all hosts together send to such a server when the
+  /// interval has passed; the rate grows with the square of the unused time.
+  double UseRate = 2;
   server_choice Choose = chooseByExpectedDelay;
 };
 
@@ -90,6 +101,9 @@
       : Options(std::move(Options)),
         Exchange(this->Options.Self, this->Options.OwnDataCentre) {}
 
+  /// Sets the number of hosts that share the servers.
+  void setHosts(const hosts_counted &Counts) { Hosts = Counts; }
+
   /// Applies the platform's server list, which determines the eligible servers.
   /// A list older than the current one is ignored. After a store outage,
   /// servers missing from the list stay in use for a short time, because their
@@ -157,6 +171,12 @@
     bool Ejected = false;
     bool IsReportedUnused = false;
   };
+  /// A server that is due to get a request, and the expected number of requests
+  /// that this host should have sent there since its last request.
+  struct unused_server {
+    std::uint32_t Index = 0;
+    double Requests = 0;
+  };
   std::uint32_t indexFor(const listed_server &Server, time_point Now,
                          std::vector<pool_change> &Changes);
   void applyListed(const listed_server &Server, time_point Now,
@@ -170,6 +190,11 @@
                          bool IsFinalAttempt, time_point Now);
   void addAmbiguousFailure(const backend_server_id &Server, double SharedWeight,
                            time_point Now);
+  /// Returns the index of a random unused candidate if this request is to go to
+  /// one.
+  std::optional<std::uint32_t> chooseUnused(const service_id &Service,
+                                            bool IsFinalAttempt, time_point Now,
+                                            random_source &Random);
   /// Returns the index of a random suspected candidate, if there is any.
   std::optional<std::uint32_t> chooseProbe(random_source &Random) const;
   static double failureShare(const entry &Entry, time_point Now);
@@ -193,8 +218,13 @@
   std::unordered_map<service_id, std::vector<std::uint32_t>> Services;
   load_exchange Exchange;
   std::vector<pool_change> Changes;
-  /// Buffer of `take`, kept to avoid allocations.
+  /// Buffers of `take`, kept to avoid allocations.
   std::vector<server_candidate> Candidates;
+  std::vector<unused_server> Unused;
+  /// When this host last had a request for the service that could have gone to
+  /// an unused server, by whether it was retryable.
+  std::unordered_map<service_id, std::array<time_point, 2>> LastRequests;
+  hosts_counted Hosts;
   bool Listed = false;
   std::optional<time_point> OutageEnd;
   store_revision Revision;
--- a/modules/bw_gateway/servers/server_pool_test.cpp
+++ b/modules/bw_gateway/servers/server_pool_test.cpp
@@ -54,6 +54,9 @@
   CPPUNIT_TEST(silentHostsNoLongerCount);
   CPPUNIT_TEST(finalAttemptsAvoidServersThatFailElsewhere);
   CPPUNIT_TEST(retryableRequestsProbeSuspectedServers);
+  CPPUNIT_TEST(serversWithAnOldFailureAreUsedAgain);
+  CPPUNIT_TEST(unusedServersThatFailGetNoSubmissions);
+  CPPUNIT_TEST(unusedRemoteServersAreUsedLater);
   CPPUNIT_TEST(theFloorStaysInUse);
   CPPUNIT_TEST(leavingServersDoNotCountForTheFloor);
   CPPUNIT_TEST(turnsAtTheFloorAreNotReported);
@@ -215,6 +218,36 @@
     CPPUNIT_ASSERT(Tried >= 5 && Tried <= 30);
   }
 
+  // Guards against a sound server that gets no request for as long as others
+  // have room, because a failure that has passed makes it cost more.
+  void serversWithAnOldFailureAreUsedAgain() {
+    Pool.update(list(1, numberedServers(10)), Now);
+    failBurst("0");
+    Now += 2s;
+    CPPUNIT_ASSERT(usedWithin(2s, false).contains("0"));
+    // A gray failure lasts up to eight seconds.
+    CPPUNIT_ASSERT(usedWithin(8s, true).contains("0"));
+  }
+
+  // Guards against a fix of the above that sends work to failing servers:
+  // requests that cannot be retried avoid every suspected server.
+  void unusedServersThatFailGetNoSubmissions() {
+    Pool.update(list(1, numberedServers(10)), Now);
+    for (int Second = 0; Second < 10; ++Second) {
+      failBurst("0");
+      CPPUNIT_ASSERT(!usedWithin(1s, true).contains("0"));
+    }
+  }
+
+  // Guards against traffic between data centres for the sake of servers that
+  // the hosts beside them use.
+  void unusedRemoteServersAreUsedLater() {
+    Pool.update(list(1, {server("near", Near, 100), server("far", Far, 100)}),
+                Now);
+    CPPUNIT_ASSERT(!usedWithin(1s, false).contains("far"));
+    CPPUNIT_ASSERT(usedWithin(1500ms, false).contains("far"));
+  }
+
   // Guards against ejecting more servers than the operators' floor allows.
   void theFloorStaysInUse() {
     Pool.update(list(1, numberedServers(10)), Now);
@@ -289,6 +322,26 @@
   }
 
 private:
+  // A burst of failures during which other servers prove to be sound.
+  void failBurst(const std::string &Name) {
+    for (int Index = 0; Index < 10; ++Index)
+      Pool.addEvidence(backend_server_id(std::to_string(Index)), 20, 0, Now);
+    for (int Count = 0; Count < 3; ++Count)
+      Pool.addEvidence(backend_server_id(Name), 0, 1, Now);
+  }
+
+  // Returns the servers chosen within the time for 50 requests a second.
+  std::set<std::string> usedWithin(duration Length, bool IsFinalAttempt) {
+    std::set<std::string> Result;
+    for (const time_point End = Now + Length; Now < End; Now += 20ms) {
+      const listed_server *Taken =
+          Pool.take(Diary, {}, IsFinalAttempt, Now, Random);
+      Result.insert(Taken->Server.value());
+      Pool.release(Taken->Server);
+    }
+    return Result;
+  }
+
   // Returns the servers chosen for requests sent one after the other.
   std::set<std::string> taken(int Count) {
     std::set<std::string> Result;
--- a/modules/bw_gateway_daemon/follow/platform_state.cpp
+++ b/modules/bw_gateway_daemon/follow/platform_state.cpp
@@ -122,7 +122,9 @@
   HostsDigest = digestOf(Hosts, Options.Self);
   Directory.setListedHosts(Hosts, Clock.now());
   Decide->push(hosts_counted{
-      .Hosts = static_cast<std::uint32_t>(Directory.listedHosts() + 1)});
+      .Hosts = static_cast<std::uint32_t>(Directory.listedHosts() + 1),
+      .LocalHosts =
+          static_cast<std::uint32_t>(Directory.listedLocalHosts() + 1)});
 }
 
 void platform_state::heard(const host_id &Host, const host_state &State) {
--- a/modules/bw_gateway_fleet/fleet/fleet_rules.cpp
+++ b/modules/bw_gateway_fleet/fleet/fleet_rules.cpp
@@ -33,12 +33,13 @@
   Uses.push_back({At, Sound, Used});
 }
 
-double fleet_rules::leastUse() const {
-  double Result = 1;
-  for (const use_record &Use : Uses)
-    if (Use.Sound > 0)
-      Result = std::min(Result, double(Use.Used) / double(Use.Sound));
-  return Result;
+fleet_rules::use_record fleet_rules::leastUse() const {
+  const auto Least =
+      std::min_element(Uses.begin(), Uses.end(),
+                       [](const use_record &Left, const use_record &Right) {
+                         return Left.share() < Right.share();
+                       });
+  return Least == Uses.end() ? use_record() : *Least;
 }
 
 std::vector<fleet_violation> fleet_rules::violations() const {
--- a/modules/bw_gateway_fleet/fleet/fleet_rules.h
+++ b/modules/bw_gateway_fleet/fleet/fleet_rules.h
@@ -36,8 +36,18 @@
   /// many of them got a request in it.
   void recordUse(time_point At, std::size_t Sound, std::size_t Used);
 
-  /// Returns the smallest share of the sound servers that was in use.
-  double leastUse() const;
+  struct use_record {
+    time_point At;
+    std::size_t Sound = 0;
+    std::size_t Used = 0;
+
+    double share() const {
+      return Sound == 0 ? 1 : double(Used) / double(Sound);
+    }
+  };
+  /// Returns the window in which the smallest share of the sound servers was in
+  /// use.
+  use_record leastUse() const;
   /// Returns the violations, at most one for each rule and second.
   std::vector<fleet_violation> violations() const;
 
@@ -53,12 +63,6 @@
     time_point Sent;
     bool IsServed = true;
   };
-  struct use_record {
-    time_point At;
-    std::size_t Sound = 0;
-    std::size_t Used = 0;
-  };
-
   ratio FloorShare;
   std::vector<request_record> Requests;
   std::vector<use_record> Uses;
--- a/modules/bw_gateway_fleet/fleet/gateway_fleet.cpp
+++ b/modules/bw_gateway_fleet/fleet/gateway_fleet.cpp
@@ -108,8 +108,10 @@
                                       .FloorShare = Options.FloorShare},
                              .RetrySlack = 170});
   handle(Index, configuration_read{Configuration});
-  handle(Index,
-         hosts_counted{.Hosts = static_cast<std::uint32_t>(Hosts.size())});
+  handle(Index, hosts_counted{
+                    .Hosts = static_cast<std::uint32_t>(Hosts.size()),
+                    .LocalHosts = static_cast<std::uint32_t>(
+                        (Hosts.size() + dataCentres() - 1) / dataCentres())});
   handle(Index, exchange_duty{.IsAggregator = isAggregator(Index),
                               .IsFirst = Index < dataCentres()});
   listServers();
--- a/modules/bw_gateway_fleet/fleet/gateway_fleet.h
+++ b/modules/bw_gateway_fleet/fleet/gateway_fleet.h
@@ -16,8 +16,8 @@
   std::size_t Requests = 0;
   std::size_t Served = 0;
   std::size_t Attempts = 0;
-  /// The smallest share of the sound servers that got requests in a window.
-  double LeastUse = 1;
+  /// The window in which the smallest share of the sound servers got requests.
+  fleet_rules::use_record LeastUse = {};
   std::vector<fleet_violation> Violations;
 
   double servedShare() const { return double(Served) / double(Requests); }
--- a/modules/bw_gateway_fleet/fleet/gateway_fleet_test.cpp
+++ b/modules/bw_gateway_fleet/fleet/gateway_fleet_test.cpp
@@ -13,16 +13,20 @@
 
 namespace {
 
+double seconds(time_point Time) {
+  return std::chrono::duration<double>(Time.time_since_epoch()).count();
+}
+
 void print(const char *Name, std::uint64_t Seed, const fleet_result &Result) {
   std::cout << Name << " seed " << Seed << ": served " << Result.servedShare()
             << " of " << Result.Requests << ", arrivals per request "
             << double(Result.Attempts) / double(Result.Requests)
-            << ", least use " << Result.LeastUse << "\n";
+            << ", least use " << Result.LeastUse.Used << " of "
+            << Result.LeastUse.Sound << " servers at "
+            << seconds(Result.LeastUse.At) << " s\n";
   for (const fleet_violation &Each : Result.Violations)
-    std::cout
-        << "  " << ruleName(Each.Rule) << " at "
-        << std::chrono::duration<double>(Each.At.time_since_epoch()).count()
-        << " s: " << Each.Detail << "\n";
+    std::cout << "  " << ruleName(Each.Rule) << " at " << seconds(Each.At)
+              << " s: " << Each.Detail << "\n";
 }
 
 } // namespace
@@ -60,7 +64,8 @@
       const fleet_result Result = Fleet.run();
       print(Name, Day, Result);
       Violations += Result.count(Rule);
-      DaysBelowFloor += Result.LeastUse < Options.FloorShare.value() ? 1U : 0U;
+      DaysBelowFloor +=
+          Result.LeastUse.share() < Options.FloorShare.value() ? 1U : 0U;
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), Violations);
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), DaysBelowFloor);
