Log when a host hears of a newer configuration, and each fetch of it

The log said only when a version was in force, not when the host was told of it, from where it fetched it, or that a fetch failed. Change: BW1406 names the host that first reported the newer version, BW1404 and BW1405 give source, outcome, bytes and time of a fetch; failed fetches of lists are logged too. Conclusion: the log now separates a version that was not reported from one whose transfer failed.

--- a/modules/bw_gateway_daemon/peers/exchange_fetch_service.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_fetch_service.cpp
@@ -6,6 +6,32 @@
 
 using namespace bw;
 
+namespace {
+
+bool isFetched(const call_result &Result) {
+  constexpr int Ok = 200;
+  return Result.Transfer.Status == transfer_status::Complete &&
+         Result.Response.Status == Ok;
+}
+
+std::string_view statusName(transfer_status Status) {
+  switch (Status) {
+  case transfer_status::Complete:
+    return "complete";
+  case transfer_status::ConnectFailed:
+    return "connect_failed";
+  case transfer_status::Broken:
+    return "broken";
+  case transfer_status::TimedOut:
+    return "timed_out";
+  case transfer_status::Cancelled:
+    return "cancelled";
+  }
+  return "";
+}
+
+} // namespace
+
 std::string bw::exchangePath(exchange_item Item) {
   switch (Item) {
   case exchange_item::Servers:
@@ -84,6 +110,26 @@
     fetch({.Wanted = exchange_item::Hosts, .From = Seed});
 }
 
+// Lists change several times a second, so only failures to fetch them are
+// logged.
+void exchange_fetch_service::logFetch(const fetch_request &Request,
+                                      const call_result &Result) const {
+  const bool IsFetched = isFetched(Result);
+  if (IsFetched && Request.Wanted != exchange_item::Configuration)
+    return;
+  logEvent(
+      IsFetched ? log_event::StateFetched : log_event::StateFetchFailed,
+      {{"path", exchangePath(Request.Wanted)},
+       {"from", Request.From.Ip},
+       {"outcome", std::string(statusName(Result.Transfer.Status))},
+       {"status", std::to_string(Result.Transfer.HttpStatus)},
+       {"bytes", std::to_string(Result.Transfer.Received.value())},
+       {"elapsed_ms",
+        std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                           Result.Transfer.Elapsed)
+                           .count())}});
+}
+
 bool exchange_fetch_service::fetch(const fetch_request &Request) {
   const call_result Result =
       Session.call({.Method = "GET",
@@ -92,9 +138,8 @@
                            exchangePath(Request.Wanted),
                     .ConnectTimeout = Options.ConnectTimeout,
                     .Timeout = Options.Timeout});
-  constexpr int Ok = 200;
-  if (Result.Transfer.Status != transfer_status::Complete ||
-      Result.Response.Status != Ok)
+  logFetch(Request, Result);
+  if (!isFetched(Result))
     return false;
   try {
     const std::string &Body = Result.Response.Body;
--- a/modules/bw_gateway_daemon/peers/exchange_fetch_service.h
+++ b/modules/bw_gateway_daemon/peers/exchange_fetch_service.h
@@ -56,6 +56,7 @@
 private:
   void run();
   bool fetch(const fetch_request &Request);
+  void logFetch(const fetch_request &Request, const call_result &Result) const;
   void fetchFromSeeds();
   bool lacksState() const;
 
--- a/modules/bw_gateway_daemon/peers/peer_report_service.cpp
+++ b/modules/bw_gateway_daemon/peers/peer_report_service.cpp
@@ -241,7 +241,19 @@
   }
 }
 
+void peer_report_service::logNewerVersion(const host_report &Report) {
+  const config_version Own = State->ownState().Version;
+  if (Report.State.Version <= std::max(Own, ReportedVersion))
+    return;
+  ReportedVersion = Report.State.Version;
+  logEvent(log_event::NewerConfigurationReported,
+           {{"version", std::to_string(ReportedVersion.value())},
+            {"own_version", std::to_string(Own.value())},
+            {"by", Report.Observations.Host.value()}});
+}
+
 void peer_report_service::handleReport(host_report Report) {
+  logNewerVersion(Report);
   State->heard(Report.Observations.Host, Report.State);
   if (Report.Summary)
     Decide->push(std::move(*Report.Summary));
--- a/modules/bw_gateway_daemon/peers/peer_report_service.h
+++ b/modules/bw_gateway_daemon/peers/peer_report_service.h
@@ -79,6 +79,7 @@
   void receiveNext();
   void receiveAll();
   void handleReport(host_report Report);
+  void logNewerVersion(const host_report &Report);
   void fetchNewerState();
 
   runtime_clock &Clock;
@@ -97,6 +98,8 @@
   /// When another host was first seen with a newer configuration; used by the
   /// receiving thread.
   std::optional<time_point> BehindSince;
+  /// The newest version that was logged as reported by another host.
+  config_version ReportedVersion;
   std::thread Sender;
   std::thread Receiver;
 };
--- a/modules/bw_kernel/log/log_event.h
+++ b/modules/bw_kernel/log/log_event.h
@@ -55,6 +55,9 @@
   ConfigurationRefused = 1401,
   PlatformUnavailable = 1402,
   PlatformRestored = 1403,
+  StateFetched = 1404,
+  StateFetchFailed = 1405,
+  NewerConfigurationReported = 1406,
   // 1500: operators, orders and audit.
   OperatorCallRefused = 1500,
   ChangeAccepted = 1501,
