--- a/modules/bw_gateway_fleet/bw_gateway_fleet.h
+++ b/modules/bw_gateway_fleet/bw_gateway_fleet.h
@@ -8,6 +8,7 @@
 #ifndef BW_GATEWAY_FLEET_BW_GATEWAY_FLEET_H
 #define BW_GATEWAY_FLEET_BW_GATEWAY_FLEET_H
 
+#include "bw_gateway_fleet/configuration/configuration_spread.h"
 #include "bw_gateway_fleet/fleet/fleet_options.h"
 #include "bw_gateway_fleet/fleet/fleet_rules.h"
 #include "bw_gateway_fleet/fleet/fleet_server.h"
