Fetch large configurations from different hosts, and while bytes arrive

Cause: hostWithNewerConfiguration took the first host by name among those with the newest version, so all hosts fetched the whole body from the same one, often a small host of another data centre. A fetch ended after 400 ms however much had arrived, and the next began anew, so the link stayed full of bodies that were thrown away. Change: a random host among those with the version, aggregators of the own data centre first, hosts from which a fetch failed last. Unit tests of bw_gateway, bw_gateway_daemon, platform, bw_http pass. Conclusion: the class is a fixed time limit on work whose size grows, together with a choice that is the same on all hosts.

--- a/modules/bw_gateway/hosts/fetch_limits.h
+++ b/modules/bw_gateway/hosts/fetch_limits.h
@@ -8,8 +8,11 @@
 /// Time limits of a fetch from another host.
 struct fetch_limits {
   duration Connect = std::chrono::milliseconds(150);
-  /// For the whole fetch.
-  duration Total = std::chrono::milliseconds(400);
+  /// Longest time without a byte of the response. A body may take longer over a
+  /// slow or busy link, so the whole fetch has no such limit.
+  duration Idle = std::chrono::milliseconds(400);
+  /// For the whole fetch, after which another host may have a newer item.
+  duration Total = std::chrono::seconds(3);
 };
 
 } // namespace bw
--- a/modules/bw_gateway/hosts/host_directory.cpp
+++ b/modules/bw_gateway/hosts/host_directory.cpp
@@ -1,6 +1,7 @@
 #include "bw_gateway/hosts/host_directory.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 using namespace bw;
@@ -154,14 +155,50 @@
   return Result;
 }
 
+int host_directory::fetchRank(const entry &Entry, time_point Now) const {
+  enum : int { LocalAggregator, Local, Remote, Failed };
+  if (Entry.FetchFailedAt &&
+      Now - *Entry.FetchFailedAt < Options.FetchRetryPause)
+    return Failed;
+  if (!isLocal(Entry))
+    return Remote;
+  const auto Aggregators = liveAggregatorsIn(Options.Self.DataCentre, Now);
+  return std::find(Aggregators.begin(), Aggregators.end(), Entry.Host) !=
+                 Aggregators.end()
+             ? LocalAggregator
+             : Local;
+}
+
+// All hosts learn of a version at about the same time. If they chose the same
+// host, its link would carry the body for each of them at once.
 std::optional<gateway_host>
-host_directory::hostWithNewerConfiguration(time_point Now) const {
-  const entry *Best = nullptr;
+host_directory::hostWithNewerConfiguration(time_point Now,
+                                           random_source &Random) const {
+  config_version Newest = Own.Version;
   for (const auto &[Name, Entry] : Hosts)
-    if (isLive(Entry, Now) && Entry.State.Version > Own.Version &&
-        (Best == nullptr || Entry.State.Version > Best->State.Version))
-      Best = &Entry;
-  return Best == nullptr ? std::nullopt : std::optional(Best->Host);
+    if (isLive(Entry, Now))
+      Newest = std::max(Newest, Entry.State.Version);
+  if (Newest == Own.Version)
+    return std::nullopt;
+  std::vector<gateway_host> Best;
+  int BestRank = std::numeric_limits<int>::max();
+  for (const auto &[Name, Entry] : Hosts) {
+    if (!isLive(Entry, Now) || Entry.State.Version != Newest)
+      continue;
+    const int Rank = fetchRank(Entry, Now);
+    if (Rank < BestRank)
+      Best.clear();
+    BestRank = std::min(BestRank, Rank);
+    if (Rank == BestRank)
+      Best.push_back(Entry.Host);
+  }
+  return Best[Random.below(Best.size())];
+}
+
+void host_directory::recordFetchFailure(const host_id &Host, time_point Now) {
+  const auto Found = Hosts.find(Host);
+  if (Found != Hosts.end())
+    Found->second.FetchFailedAt = Now;
 }
 
 std::optional<gateway_host>
--- a/modules/bw_gateway/hosts/host_directory.h
+++ b/modules/bw_gateway/hosts/host_directory.h
@@ -42,6 +42,9 @@
   /// Hosts that are not aggregators read the server list when theirs was last
   /// confirmed longer ago than this.
   duration FallbackReadAge = std::chrono::milliseconds(1200);
+  /// Hosts from which a fetch failed are avoided for this long. A busy host is
+  /// then free again.
+  duration FetchRetryPause = std::chrono::milliseconds(250);
   /// Random delay added for these hosts, so that they do not all read at once.
   duration ReadSpread = std::chrono::milliseconds(300);
 };
@@ -97,9 +100,14 @@
   /// aggregators did not.
   bool followsStore(time_point Now) const;
 
-  /// Returns the live host with the newest configuration, if newer than the
-  /// own.
-  std::optional<gateway_host> hostWithNewerConfiguration(time_point Now) const;
+  /// Returns a live host to fetch a newer configuration than the own from, if
+  /// there is any: a random one with the newest version, aggregators of the own
+  /// data centre first, then its other hosts, then those of other data centres.
+  /// A host from which a fetch has just failed comes last.
+  std::optional<gateway_host>
+  hostWithNewerConfiguration(time_point Now, random_source &Random) const;
+  /// Records that the host did not deliver what was fetched from it.
+  void recordFetchFailure(const host_id &Host, time_point Now);
   /// Returns a live host whose server list is newer than the own and differs
   /// from it, if any. Prefers hosts of the own data centre.
   std::optional<gateway_host> hostWithNewerServers(time_point Now) const;
@@ -134,6 +142,7 @@
     /// clock.
     time_point ListReadAt{};
     std::optional<time_point> HeardAt;
+    std::optional<time_point> FetchFailedAt;
     time_point ListedAt{};
   };
 
@@ -141,6 +150,8 @@
   bool isLocal(const entry &Entry) const {
     return Entry.Host.DataCentre == Options.Self.DataCentre;
   }
+  /// Order in which hosts are asked for a configuration, lowest first.
+  int fetchRank(const entry &Entry, time_point Now) const;
   /// Number of live hosts of the own data centre that rank before this one.
   std::size_t ownRank(time_point Now) const;
   /// Returns a random subset of at most `Count` hosts.
--- a/modules/bw_gateway/hosts/host_directory_test.cpp
+++ b/modules/bw_gateway/hosts/host_directory_test.cpp
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(anEarlierConfirmationIsKept);
   CPPUNIT_TEST(aReaderWithADifferentListDoesNotCount);
   CPPUNIT_TEST(findsHostsWithNewerState);
+  CPPUNIT_TEST(configurationsComeFromDifferentHosts);
   CPPUNIT_TEST(prefersANearHostForTheList);
   CPPUNIT_TEST(onlyTheFirstAggregatorRemovesHosts);
   CPPUNIT_TEST(theFirstLiveHostIsTheFirstAggregator);
@@ -222,23 +223,51 @@
   void findsHostsWithNewerState() {
     host_directory Hosts = directory("a1");
     Hosts.setOwnState(state(5, 10, 7), Now);
-    CPPUNIT_ASSERT(!Hosts.hostWithNewerConfiguration(Now));
+    CPPUNIT_ASSERT(!Hosts.hostWithNewerConfiguration(Now, Random));
     Hosts.recordReport(host_id("a2"), state(5, 10, 7), Now);
-    CPPUNIT_ASSERT(!Hosts.hostWithNewerConfiguration(Now) &&
+    CPPUNIT_ASSERT(!Hosts.hostWithNewerConfiguration(Now, Random) &&
                    !Hosts.hostWithNewerServers(Now));
     // The same content at a later revision is not an update.
     Hosts.recordReport(host_id("a3"), state(5, 12, 7), Now);
     CPPUNIT_ASSERT(!Hosts.hostWithNewerServers(Now));
     Hosts.recordReport(host_id("b1"), state(6, 11, 8), Now);
-    CPPUNIT_ASSERT(Hosts.hostWithNewerConfiguration(Now)->Host ==
+    CPPUNIT_ASSERT(Hosts.hostWithNewerConfiguration(Now, Random)->Host ==
                    host_id("b1"));
     CPPUNIT_ASSERT(Hosts.hostWithNewerServers(Now)->Host == host_id("b1"));
     // A host that is not live cannot be asked.
     Now += 10s;
-    CPPUNIT_ASSERT(!Hosts.hostWithNewerConfiguration(Now) &&
+    CPPUNIT_ASSERT(!Hosts.hostWithNewerConfiguration(Now, Random) &&
                    !Hosts.hostWithNewerServers(Now));
   }
 
+  // Guards against all hosts fetching a large configuration from the same host,
+  // whose link then carries it for each of them at once.
+  void configurationsComeFromDifferentHosts() {
+    host_directory Hosts = directory("a4");
+    Hosts.setOwnState(state(5, 10, 7), Now);
+    const auto Asked = [&] {
+      std::set<std::string> Result;
+      for (int Count = 0; Count < 50; ++Count)
+        Result.insert(
+            Hosts.hostWithNewerConfiguration(Now, Random)->Host.value());
+      return Result;
+    };
+    for (const char *Name : {"b1", "b2"})
+      Hosts.recordReport(host_id(Name), state(6, 10, 7), Now);
+    CPPUNIT_ASSERT(Asked() == (std::set<std::string>{"b1", "b2"}));
+    // Other hosts of the data centre come first, and its aggregators before
+    // them.
+    Hosts.recordReport(host_id("a3"), state(6, 10, 7), Now);
+    CPPUNIT_ASSERT(Asked() == (std::set<std::string>{"a3"}));
+    for (const char *Name : {"a1", "a2"})
+      Hosts.recordReport(host_id(Name), state(6, 10, 7), Now);
+    CPPUNIT_ASSERT(Asked() == (std::set<std::string>{"a1", "a2"}));
+    Hosts.recordFetchFailure(host_id("a1"), Now);
+    CPPUNIT_ASSERT(Asked() == (std::set<std::string>{"a2"}));
+    Now += 1s;
+    CPPUNIT_ASSERT(Asked() == (std::set<std::string>{"a1", "a2"}));
+  }
+
   void prefersANearHostForTheList() {
     host_directory Hosts = directory("a1");
     Hosts.setOwnState(state(5, 10, 7), Now);
--- a/modules/bw_gateway_daemon/peers/exchange_fetch_service.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_fetch_service.cpp
@@ -44,13 +44,14 @@
   return "/";
 }
 
+exchange_fetch_service::lane::lane(runtime_clock &Clock)
+    // A refused request is repeated after the next report.
+    : Requests(Clock, {.Capacity = 16, .Overflow = overflow_policy::Refuse}) {}
+
 exchange_fetch_service::exchange_fetch_service(
     runtime_clock &Clock, exchange_fetch_options GivenOptions)
     : service(std::string(ServiceName)), Clock(Clock),
-      Options(std::move(GivenOptions)),
-      // A refused request is repeated after the next report.
-      FetchRequests(Clock,
-                    {.Capacity = 16, .Overflow = overflow_policy::Refuse}) {}
+      Options(std::move(GivenOptions)), Lists(Clock), Configurations(Clock) {}
 
 exchange_fetch_service::~exchange_fetch_service() { stop(); }
 
@@ -59,53 +60,60 @@
 }
 
 void exchange_fetch_service::start() {
-  Thread = std::thread([this] { run(); });
+  for (lane *Lane : {&Lists, &Configurations})
+    Lane->Thread = std::thread([this, Lane] { run(*Lane); });
 }
 
 void exchange_fetch_service::stop() {
-  if (!Thread.joinable())
-    return;
-  Session.cancel();
-  FetchRequests.close();
-  Thread.join();
+  for (lane *Lane : {&Lists, &Configurations}) {
+    if (!Lane->Thread.joinable())
+      continue;
+    Lane->Session.cancel();
+    Lane->Requests.close();
+    Lane->Thread.join();
+  }
 }
 
 void exchange_fetch_service::requestFetch(fetch_request Request) {
   std::atomic<bool> &IsOpen = IsPending[std::size_t(Request.Wanted)];
-  if (!IsOpen.exchange(true) && !FetchRequests.push(std::move(Request)))
+  lane &Lane = laneOf(Request.Wanted);
+  if (!IsOpen.exchange(true) && !Lane.Requests.push(std::move(Request)))
     IsOpen = false;
 }
 
-// True while the configuration, the server list or the host list is missing.
-bool exchange_fetch_service::lacksState() const {
-  return State->hosts().empty() || !State->configuration() || !State->servers();
+// True while what the lane fetches is missing.
+bool exchange_fetch_service::lacksState(const lane &Lane) const {
+  return &Lane == &Configurations ? !State->configuration()
+                                  : State->hosts().empty() || !State->servers();
 }
 
-void exchange_fetch_service::run() {
-  while (!FetchRequests.isClosed()) {
-    const bool AsksSeeds = !Options.Seeds.empty() && lacksState();
+void exchange_fetch_service::run(lane &Lane) {
+  std::size_t SeedAttempts = 0;
+  while (!Lane.Requests.isClosed()) {
+    const bool AsksSeeds = !Options.Seeds.empty() && lacksState(Lane);
     const duration Pause = SeedAttempts < Options.InitialSeedAttempts
                                ? Options.InitialSeedInterval
                                : Options.SeedInterval;
     const auto Request =
-        FetchRequests.pop(AsksSeeds ? Clock.now() + Pause : time_point::max());
+        Lane.Requests.pop(AsksSeeds ? Clock.now() + Pause : time_point::max());
     if (Request) {
       fetch(*Request);
       IsPending[std::size_t(Request->Wanted)] = false;
-    } else if (AsksSeeds && lacksState() && !FetchRequests.isClosed()) {
-      fetchFromSeeds();
+    } else if (AsksSeeds && lacksState(Lane) && !Lane.Requests.isClosed()) {
+      fetchFromSeed(Lane, SeedAttempts++);
     }
   }
 }
 
-void exchange_fetch_service::fetchFromSeeds() {
-  ++SeedAttempts;
-  const gateway_host &Seed = Options.Seeds[NextSeed++ % Options.Seeds.size()];
-  if (!State->configuration() &&
-      !fetch({.Wanted = exchange_item::Configuration, .From = Seed}))
+void exchange_fetch_service::fetchFromSeed(lane &Lane, std::size_t Attempt) {
+  const gateway_host &Seed = Options.Seeds[Attempt % Options.Seeds.size()];
+  if (&Lane == &Configurations) {
+    fetch({.Wanted = exchange_item::Configuration, .From = Seed});
+    return;
+  }
+  if (!State->servers() &&
+      !fetch({.Wanted = exchange_item::Servers, .From = Seed}))
     return;
-  if (!State->servers())
-    fetch({.Wanted = exchange_item::Servers, .From = Seed});
   if (State->hosts().empty())
     fetch({.Wanted = exchange_item::Hosts, .From = Seed});
 }
@@ -131,38 +139,51 @@
 }
 
 bool exchange_fetch_service::fetch(const fetch_request &Request) {
+  const auto Milliseconds = [](duration Time) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Time);
+  };
+  const fetch_limits &Limits = Options.Limits;
   const call_result Result =
-      Session.call({.Method = "GET",
-                    .Url = "http://" + Request.From.Ip + ":" +
-                           std::to_string(Request.From.ExchangePort) +
-                           exchangePath(Request.Wanted),
-                    .ConnectTimeout = Options.ConnectTimeout,
-                    .Timeout = Options.Timeout});
+      laneOf(Request.Wanted)
+          .Session.call({.Method = "GET",
+                         .Url = "http://" + Request.From.Ip + ":" +
+                                std::to_string(Request.From.ExchangePort) +
+                                exchangePath(Request.Wanted),
+                         .ConnectTimeout = Milliseconds(Limits.Connect),
+                         .Timeout = Milliseconds(Limits.Total),
+                         .FirstByteTimeout = Milliseconds(Limits.Idle),
+                         .IdleTimeout = Milliseconds(Limits.Idle)});
   logFetch(Request, Result);
-  if (!isFetched(Result))
-    return false;
+  bool IsUsable = isFetched(Result);
   try {
-    const std::string &Body = Result.Response.Body;
-    switch (Request.Wanted) {
-    case exchange_item::Servers: {
-      const auto Age = Result.Response.Headers.find("Age-Ms");
-      State->offerServers(
-          decodeServers(Body),
-          std::chrono::milliseconds(
-              Age ? std::strtoll(Age->c_str(), nullptr, 10) : 0));
-      break;
-    }
-    case exchange_item::Configuration:
-      State->offerConfiguration(decodeConfiguration(Body));
-      break;
-    case exchange_item::Hosts:
-      State->offerHosts(decodeHosts(Body));
-      break;
-    }
-    return true;
+    if (IsUsable)
+      store(Request, Result.Response);
   } catch (const exchange_error &Failure) {
     logEvent(log_event::InputMalformed,
              {{"from", Request.From.Ip}, {"reason", Failure.what()}});
-    return false;
+    IsUsable = false;
+  }
+  if (!IsUsable)
+    State->withHosts([&](host_directory &Hosts, random_source &) {
+      Hosts.recordFetchFailure(Request.From.Host, Clock.now());
+      return 0;
+    });
+  return IsUsable;
+}
+
+void exchange_fetch_service::store(const fetch_request &Request,
+                                   const http_response &Response) {
+  switch (Request.Wanted) {
+  case exchange_item::Servers: {
+    const auto Age = Response.Headers.find("Age-Ms");
+    return State->offerServers(
+        decodeServers(Response.Body),
+        std::chrono::milliseconds(Age ? std::strtoll(Age->c_str(), nullptr, 10)
+                                      : 0));
+  }
+  case exchange_item::Configuration:
+    return State->offerConfiguration(decodeConfiguration(Response.Body));
+  case exchange_item::Hosts:
+    return State->offerHosts(decodeHosts(Response.Body));
   }
 }
--- a/modules/bw_gateway_daemon/peers/exchange_fetch_service.h
+++ b/modules/bw_gateway_daemon/peers/exchange_fetch_service.h
@@ -1,6 +1,7 @@
 #ifndef BW_GATEWAY_DAEMON_PEERS_EXCHANGE_FETCH_SERVICE_H
 #define BW_GATEWAY_DAEMON_PEERS_EXCHANGE_FETCH_SERVICE_H
 
+#include "bw_gateway/hosts/fetch_limits.h"
 #include "bw_gateway_daemon/follow/platform_state.h"
 #include "bw_http/client/http_call_session.h"
 #include "bw_kernel/rings/bounded_ring.h"
@@ -23,8 +24,7 @@
 };
 
 struct exchange_fetch_options {
-  std::chrono::milliseconds ConnectTimeout{150};
-  std::chrono::milliseconds Timeout{400};
+  fetch_limits Limits = {};
   /// Hosts to fetch from while no other host is known, such as after a start
   /// while the store is unavailable. Only their address and exchange port are
   /// used.
@@ -33,11 +33,12 @@
   duration SeedInterval = std::chrono::milliseconds(500);
   /// The same for the first attempts after the start.
   duration InitialSeedInterval = std::chrono::milliseconds(40);
-  int InitialSeedAttempts = 6;
+  std::size_t InitialSeedAttempts = 6;
 };
 
 /// Service *fetch*: fetches the configuration, the server list and the host
-/// list from other hosts.
+/// list from other hosts. Lists are fetched on a thread of their own, since
+/// they must not wait for a large configuration.
 class exchange_fetch_service : public service {
 public:
   static constexpr std::string_view ServiceName = "fetch";
@@ -54,21 +55,31 @@
   void requestFetch(fetch_request Request);
 
 private:
-  void run();
+  /// Fetches that are done one after the other.
+  struct lane {
+    explicit lane(runtime_clock &Clock);
+
+    bounded_ring<fetch_request> Requests;
+    http_call_session Session;
+    std::thread Thread;
+  };
+
+  lane &laneOf(exchange_item Item) {
+    return Item == exchange_item::Configuration ? Configurations : Lists;
+  }
+  void run(lane &Lane);
   bool fetch(const fetch_request &Request);
   void logFetch(const fetch_request &Request, const call_result &Result) const;
-  void fetchFromSeeds();
-  bool lacksState() const;
+  void store(const fetch_request &Request, const http_response &Response);
+  void fetchFromSeed(lane &Lane, std::size_t Attempt);
+  bool lacksState(const lane &Lane) const;
 
   runtime_clock &Clock;
   exchange_fetch_options Options;
   platform_state *State = nullptr;
-  bounded_ring<fetch_request> FetchRequests;
   std::array<std::atomic<bool>, 3> IsPending{};
-  std::size_t NextSeed = 0;
-  int SeedAttempts = 0;
-  http_call_session Session;
-  std::thread Thread;
+  lane Lists;
+  lane Configurations;
 };
 
 } // namespace bw
--- a/modules/bw_gateway_daemon/peers/peer_report_service.cpp
+++ b/modules/bw_gateway_daemon/peers/peer_report_service.cpp
@@ -266,13 +266,13 @@
 // Requests newer lists and configurations from the hosts that have them.
 void peer_report_service::fetchNewerState() {
   const time_point Now = Clock.now();
-  State->withHosts([&](host_directory &Hosts, random_source &) {
+  State->withHosts([&](host_directory &Hosts, random_source &Generator) {
     if (const auto Holder = Hosts.hostWithNewerServers(Now))
       Fetch->requestFetch({.Wanted = exchange_item::Servers, .From = *Holder});
     if (!Hosts.followsStore(Now))
       if (const auto Holder = Hosts.aggregatorWithOtherHosts(Now))
         Fetch->requestFetch({.Wanted = exchange_item::Hosts, .From = *Holder});
-    const auto Holder = Hosts.hostWithNewerConfiguration(Now);
+    const auto Holder = Hosts.hostWithNewerConfiguration(Now, Generator);
     if (!Holder) {
       BehindSince.reset();
     } else if (!BehindSince && Hosts.followsStore(Now)) {
--- a/modules/bw_gateway_fleet/configuration/configuration_spread.cpp
+++ b/modules/bw_gateway_fleet/configuration/configuration_spread.cpp
@@ -57,8 +57,10 @@
     Host.Directory = std::make_unique<host_directory>(
         host_directory_options{.Self = All[Index]});
     Host.Directory->setListedHosts(All, Queue.now());
-    Host.BytesPerSecond =
-        (isLarge(Index) ? LargeLink : SmallLink) * (1 - Options.LinkUse);
+    const double Link = isLarge(Index) ? LargeLink : SmallLink;
+    Host.BytesPerSecond = Link * (1 - Options.LinkUse);
+    Host.Pacer = std::make_unique<transfer_pacer>(transfer_pacer_options{
+        .LinkBytesPerSecond = byte_count(static_cast<std::uint64_t>(Link))});
   }
 }
 
@@ -164,7 +166,7 @@
   host &Host = Hosts[Index];
   const time_point Now = Queue.now();
   Host.Directory->setOwnState({.Version = Host.Version}, Now);
-  const auto Holder = Host.Directory->hostWithNewerConfiguration(Now);
+  const auto Holder = Host.Directory->hostWithNewerConfiguration(Now, Random);
   if (!Holder) {
     Host.BehindSince.reset();
   } else if (isLarge(Index) && !Host.BehindSince) {
@@ -179,6 +181,14 @@
                                       const gateway_host &From) {
   ++Result.Fetches;
   const std::size_t Source = Links.index(From.Host);
+  // A busy host answers at once.
+  const byte_count Size(static_cast<std::uint64_t>(bodyBytes()));
+  if (!Hosts[Source].IsFrozen &&
+      !Hosts[Source].Pacer->tryStart(Size, Queue.now())) {
+    ++Result.FailedFetches;
+    Hosts[Index].Directory->recordFetchFailure(From.Host, Queue.now());
+    return;
+  }
   const std::uint64_t Number = ++LastTransfer;
   Hosts[Index].Fetch = transfer{
       .From = Source, .BytesLeft = bodyBytes(), .Rate = 0, .Number = Number};
@@ -196,7 +206,10 @@
   host &Host = Hosts[Index];
   const std::size_t From = Host.Fetch->From;
   Host.Fetch.reset();
-  Result.FailedFetches += IsComplete ? 0U : 1U;
+  if (!IsComplete) {
+    ++Result.FailedFetches;
+    Host.Directory->recordFetchFailure(Links.host(From), Queue.now());
+  }
   if (IsComplete)
     Queue.after(transit(From, Index), [this, Index] { putInForce(Index); });
   shareLinks();
--- a/modules/bw_gateway_fleet/configuration/configuration_spread.h
+++ b/modules/bw_gateway_fleet/configuration/configuration_spread.h
@@ -5,6 +5,7 @@
 #include "bw_core/random/random_source.h"
 #include "bw_gateway/hosts/fetch_limits.h"
 #include "bw_gateway/hosts/host_directory.h"
+#include "bw_gateway/hosts/transfer_pacer.h"
 #include "bw_simulation/links/link_model.h"
 #include "bw_simulation/time/event_queue.h"
 
@@ -71,6 +72,7 @@
   struct host {
     gateway_host Host;
     std::unique_ptr<host_directory> Directory;
+    std::unique_ptr<transfer_pacer> Pacer;
     config_version Version{1};
     double BytesPerSecond = 0;
     bool IsFrozen = false;
--- a/modules/bw_http/client/easy_transfer.cpp
+++ b/modules/bw_http/client/easy_transfer.cpp
@@ -80,7 +80,9 @@
 std::size_t easy_transfer::receiveHeader(char *Data, std::size_t Size,
                                          std::size_t Count, void *Self) {
   const std::size_t Total = Size * Count;
-  static_cast<easy_transfer *>(Self)->takeHeaderLine({Data, Total});
+  auto *Transfer = static_cast<easy_transfer *>(Self);
+  Transfer->noteActivity();
+  Transfer->takeHeaderLine({Data, Total});
   return Total;
 }
 
@@ -118,11 +120,24 @@
                                        std::size_t Count, void *Self) {
   const std::size_t Total = Size * Count;
   auto *Transfer = static_cast<easy_transfer *>(Self);
+  Transfer->noteActivity();
   if (!Transfer->Request.OnBody({Data, Total}))
     curl_easy_pause(Transfer->Handle, CURLPAUSE_RECV);
   return Total;
 }
 
+void easy_transfer::noteActivity() {
+  HasResponse = true;
+  LastActivity = std::chrono::steady_clock::now();
+}
+
+std::chrono::steady_clock::time_point easy_transfer::stalledAt() const {
+  const std::chrono::milliseconds Limit =
+      HasResponse ? Request.IdleTimeout : Request.FirstByteTimeout;
+  return Limit.count() == 0 ? std::chrono::steady_clock::time_point::max()
+                            : LastActivity + Limit;
+}
+
 transfer_result easy_transfer::result(CURLcode Code) const {
   transfer_result Result;
   long RequestSize = 0;
--- a/modules/bw_http/client/easy_transfer.h
+++ b/modules/bw_http/client/easy_transfer.h
@@ -5,6 +5,7 @@
 
 #include <curl/curl.h>
 
+#include <chrono>
 #include <memory>
 
 namespace bw {
@@ -22,6 +23,10 @@
   CURL *handle() const { return Handle; }
   const client_request &request() const { return Request; }
 
+  /// Returns when the transfer counts as stalled; the maximum if it has no
+  /// limit on idle time.
+  std::chrono::steady_clock::time_point stalledAt() const;
+
   /// The result after libcurl has ended the transfer with this code.
   transfer_result result(CURLcode Code) const;
 
@@ -34,6 +39,7 @@
                           curlsocktype Purpose);
   void applyOptions();
   void takeHeaderLine(std::string_view Line);
+  void noteActivity();
 
   client_request Request;
   CURL *Handle;
@@ -41,6 +47,10 @@
   int HeadStatus = 0;
   http_headers Head;
   bool IsHeadComplete = false;
+  bool HasResponse = false;
+  /// When the transfer began, or last received a part of the response.
+  std::chrono::steady_clock::time_point LastActivity =
+      std::chrono::steady_clock::now();
 };
 
 /// As `callHttp`; the hook may set further options of the transfer.
--- a/modules/bw_http/client/http_client.h
+++ b/modules/bw_http/client/http_client.h
@@ -49,6 +49,10 @@
   std::chrono::milliseconds ConnectTimeout{1'000};
   /// For the whole transfer; 0 means no limit.
   std::chrono::milliseconds Timeout{30'000};
+  /// Longest time until the first byte of the response, and between its later
+  /// parts; 0 means no limit. Used by blocking calls only.
+  std::chrono::milliseconds FirstByteTimeout{0};
+  std::chrono::milliseconds IdleTimeout{0};
 
   /// All hooks are called on the client's thread and must not block.
   std::function<void(int Status, const http_headers &)> OnHead =
--- a/modules/bw_http/client/http_client_test.cpp
+++ b/modules/bw_http/client/http_client_test.cpp
@@ -47,6 +47,8 @@
   CPPUNIT_TEST(brokenResponsesAreNotComplete);
   CPPUNIT_TEST(failedConnectIsNotSent);
   CPPUNIT_TEST(deadlineEndsASilentServer);
+  CPPUNIT_TEST(idleTimeOutEndsStalledResponses);
+  CPPUNIT_TEST(idleTimeOutKeepsWholeResponses);
   CPPUNIT_TEST(closedClientIsNoticed);
   CPPUNIT_TEST(slowReaderStopsTheSender);
   CPPUNIT_TEST(largeBodyIsRefused);
@@ -136,6 +138,42 @@
     CPPUNIT_ASSERT(Result.WasSent);
   }
 
+  // Guards against waiting for a response that has stalled: before its first
+  // byte, and after a part of it.
+  void idleTimeOutEndsStalledResponses() {
+    for (const bool HasPart : {false, true}) {
+      std::mutex Mutex;
+      std::vector<http_exchange_pointer> Held;
+      test_server Server([&](const http_exchange_pointer &Exchange) {
+        const std::lock_guard Guard(Mutex);
+        Held.push_back(Exchange);
+        if (!HasPart)
+          return;
+        Exchange->begin(200, {}, std::nullopt);
+        Exchange->write("part");
+      });
+      const call_result Result = callHttp({.Url = Server.url("/"),
+                                           .Timeout = WaitLimit,
+                                           .FirstByteTimeout = 50ms,
+                                           .IdleTimeout = 50ms});
+      CPPUNIT_ASSERT(Result.Transfer.Status == transfer_status::TimedOut);
+      CPPUNIT_ASSERT_EQUAL(HasPart ? 200 : 0, Result.Transfer.HttpStatus);
+    }
+  }
+
+  // Guards against an idle time-out that ends a whole response.
+  void idleTimeOutKeepsWholeResponses() {
+    test_server Server([](const http_exchange_pointer &Exchange) {
+      Exchange->respond(
+          {.Status = 200, .Headers = {}, .Body = std::string(200'000, 'x')});
+    });
+    const call_result Result = callHttp({.Url = Server.url("/"),
+                                         .FirstByteTimeout = WaitLimit,
+                                         .IdleTimeout = WaitLimit});
+    CPPUNIT_ASSERT(Result.Transfer.Status == transfer_status::Complete);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(200'000), Result.Response.Body.size());
+  }
+
   // Guards against work that goes on for a caller who has left.
   void closedClientIsNoticed() {
     std::promise<void> Arrived;
