Send no trial to an unused server without a token for the retry

Cause: a request that goes to an unused or suspected server counts as retryable when its route allows a second attempt, but the retry needs a token of the budget. At the smallest hosts 0.05 of the lookups ended with the error of their first server, and half of those had been sent to servers with a share of 0.12 and more. Change: an attempt is final when no token is left. Unused servers get requests up to a failure share of 0.12, and requests that cannot be retried avoid suspected servers unless the service has no others.

--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -128,7 +128,9 @@
     return false;
   const bool IsFinalAttempt =
       Request.Route->Execution == execution_rule::AtMostOnce ||
-      Request.Attempts + 1 >= Request.Route->MaxAttempts;
+      Request.Attempts + 1 >= Request.Route->MaxAttempts ||
+      // Without a token a failure ends the request.
+      budgetOf(Request.Service).tokens() < 1;
   const listed_server *Server =
       Pool.take(Request.Service, Request.Tried, IsFinalAttempt, Now, Random);
   if (Server == nullptr)
--- a/modules/bw_gateway/servers/server_pool.h
+++ b/modules/bw_gateway/servers/server_pool.h
@@ -7,7 +7,6 @@
 #include "bw_gateway/servers/load_exchange.h"
 #include "bw_gateway/servers/server_evidence.h"
 
-#include <array>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -177,6 +176,11 @@
     std::uint32_t Index = 0;
     double Requests = 0;
   };
+  /// When this host last chose a server for a request of the service.
+  struct request_times {
+    time_point Retryable{};
+    time_point Final{};
+  };
   std::uint32_t indexFor(const listed_server &Server, time_point Now,
                          std::vector<pool_change> &Changes);
   void applyListed(const listed_server &Server, time_point Now,
@@ -221,9 +225,7 @@
   /// Buffers of `take`, kept to avoid allocations.
   std::vector<server_candidate> Candidates;
   std::vector<unused_server> Unused;
-  /// When this host last had a request for the service that could have gone to
-  /// an unused server, by whether it was retryable.
-  std::unordered_map<service_id, std::array<time_point, 2>> LastRequests;
+  std::unordered_map<service_id, request_times> LastRequests;
   hosts_counted Hosts;
   bool Listed = false;
   std::optional<time_point> OutageEnd;
