Send trials to unused servers sooner

Cause: few sound servers among many that fail. A server with a failure share between 0.12 and 0.2 got no trial, and a host without a token sends none, so the others have to send theirs sooner. Change: retryable requests go to unused servers up to a share of 0.2 again, at ten requests a second for all hosts instead of two.

--- a/modules/bw_gateway/servers/server_pool.cpp
+++ b/modules/bw_gateway/servers/server_pool.cpp
@@ -24,9 +24,11 @@
 constexpr duration MaxRequestGap = std::chrono::seconds(5);
 // Unused servers get retryable requests up to this failure share. A server in a
 // burst or a gray failure is above it; `ProbeShare` finds out when it is over.
+constexpr double MaxRetryableFailureShare = 0.2;
+// The same for requests that cannot be retried, if the service has no others.
 // Between its bursts a bursty server has a share of 0.09, and a little more
 // while a gray failure is not ruled out.
-constexpr double MaxUnusedFailureShare = 0.12;
+constexpr double MaxFinalFailureShare = 0.12;
 // Bounds the rate at a server whose use this host does not hear of.
 constexpr double MaxLateness = 4;
 // Weights of ambiguous outcomes as failures of the server: one that may lie in
@@ -167,12 +169,10 @@
   time_point &Last = IsFinalAttempt ? Times.Final : Times.Retryable;
   const duration Gap = std::min(Now - Last, MaxRequestGap);
   Last = Now;
-  // Requests that cannot be retried go to suspected servers only if no others
-  // find out whether those are sound.
-  const bool AvoidsSuspected =
-      IsFinalAttempt && Now - Times.Retryable < MaxRequestGap;
-  const double MaxFailureShare =
-      AvoidsSuspected ? SuspectFailureShare : MaxUnusedFailureShare;
+  const bool HasRetryable = Now - Times.Retryable < MaxRequestGap;
+  double MaxFailureShare = MaxRetryableFailureShare;
+  if (IsFinalAttempt)
+    MaxFailureShare = HasRetryable ? SuspectFailureShare : MaxFinalFailureShare;
   Unused.clear();
   double Expected = 0;
   for (const server_candidate &Each : Candidates) {
--- a/modules/bw_gateway/servers/server_pool.h
+++ b/modules/bw_gateway/servers/server_pool.h
@@ -67,7 +67,7 @@
   duration LateUseInterval = std::chrono::milliseconds(1200);
   /// Requests per second that all hosts together send to such a server when the
   /// interval has passed; the rate grows with the square of the unused time.
-  double UseRate = 2;
+  double UseRate = 10;
   server_choice Choose = chooseByExpectedDelay;
 };
 
