Read what servers say of themselves, and reproduce LIMIT, DRAIN and BUDGET

Change: the fields are decoded once into server_statement, which attempt_ended carries. server_restraint keeps it for the lifetime of a server in the pool; hosts report limits and leaving in their exchange; BW1208, BW1209, BW1210 and BW1202 log changes with the limit and the host's share. The simulated servers make such statements, and the checker states the three rules. Unit tests of the modules pass.

--- a/modules/bw_forward/servers/relay_headers.h
+++ b/modules/bw_forward/servers/relay_headers.h
@@ -23,6 +23,11 @@
   /// In successful responses: proves that the server generated them. Empty if
   /// no signature is required.
   std::string Signature = {};
+  /// In responses: the requests a second that the server accepts from all hosts
+  /// together, as a decimal number.
+  std::string RequestLimit = "Bw-Request-Limit";
+  /// In responses: the value 1 says that the server is shutting down.
+  std::string Leaving = "Bw-Leaving";
   /// Formats the value of `Retry-After`. RFC 9110 allows whole seconds only.
   std::function<std::string(duration)> RetryAfter = [](duration Wait) {
     return std::to_string(
--- a/modules/bw_forward/servers/server_attempt.h
+++ b/modules/bw_forward/servers/server_attempt.h
@@ -29,6 +29,8 @@
 
   bool HasHead = false;
   http1_head Head;
+  /// Set if the expected server generated the response.
+  std::optional<server_statement> Statement;
   /// Body bytes received and not yet relayed to the caller.
   std::string Body;
   /// The whole response was received.
--- a/modules/bw_forward/servers/server_connection.cpp
+++ b/modules/bw_forward/servers/server_connection.cpp
@@ -1,6 +1,7 @@
 #include "bw_forward/servers/server_connection.h"
 
 #include "bw_forward/callers/caller_connection.h"
+#include "bw_forward/servers/statement_reader.h"
 
 #include <asio/buffer.hpp>
 #include <asio/connect.hpp>
@@ -221,6 +222,10 @@
   if (Classification == response_class::OtherRequest)
     return true;
   updateIdleDeadline(Head);
+  // Another server that has the address now answers 421.
+  constexpr int Misdirected = 421;
+  if (Classification != response_class::Unusable && Head.Status != Misdirected)
+    Attempt->Statement = readStatement(Head, Options.Headers);
   Attempt->HasHead = true;
   Attempt->Head = std::move(Head);
   return Request.Method != "HEAD";
--- a/modules/bw_forward/service/forward_service.cpp
+++ b/modules/bw_forward/service/forward_service.cpp
@@ -307,7 +307,8 @@
                                .Attempt = Attempt.Number,
                                .Outcome = attempt_outcome::Answered,
                                .Status = Attempt.Head.Status,
-                               .IsComplete = Attempt.IsComplete});
+                               .IsComplete = Attempt.IsComplete,
+                               .Statement = Attempt.Statement});
   }
 
   void attemptFailed(server_attempt &Attempt, attempt_outcome Outcome) {
@@ -316,7 +317,8 @@
       Decide->push(attempt_ended{.Request = Attempt.Request,
                                  .Attempt = Attempt.Number,
                                  .Outcome = Outcome,
-                                 .Status = 0});
+                                 .Status = 0,
+                                 .Statement = Attempt.Statement});
       return;
     }
     Decide->push(relay_ended{.Request = Attempt.Request,
--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -185,6 +185,7 @@
   if (Found == Requests.end())
     return;
   request_state &Request = Found->second;
+  applyStatement(Request, Event, Now);
   if (Event.Outcome == attempt_outcome::Answered && !Event.IsComplete) {
     // The rest of the answer is still being received, so the attempt still
     // occupies a slot.
@@ -206,7 +207,10 @@
   case attempt_outcome::Answered:
     return answered(Found, Event, *Ended, Now, Out);
   case attempt_outcome::NotExecuted:
-    Pool.addEvidence(Ended->Server, 0, declinedWeight(Request.Service), Now);
+    // A server that limits its requests does not fail.
+    if (!Event.Statement ||
+        (!Event.Statement->RequestLimit && !Event.Statement->RetryAfter))
+      Pool.addEvidence(Ended->Server, 0, declinedWeight(Request.Service), Now);
     break;
   case attempt_outcome::NotSent:
     // A failed connect does not count as an attempt of the request.
@@ -229,6 +233,16 @@
   failed(Found, Event, Now, Out);
 }
 
+void gateway_engine::applyStatement(const request_state &Request,
+                                    const attempt_ended &Event,
+                                    time_point Now) {
+  const auto Open = std::find_if(
+      Request.Open.begin(), Request.Open.end(),
+      [&](const attempt &Each) { return Each.Number == Event.Attempt; });
+  if (Event.Statement && Open != Request.Open.end())
+    Pool.addStatement(Open->Server, *Event.Statement, Open->Started, Now);
+}
+
 double gateway_engine::declinedWeight(const service_id &Service) const {
   const auto Found = DeclinedShares.find(Service);
   const double Share = Found == DeclinedShares.end() ? 0 : Found->second;
@@ -379,16 +393,20 @@
   const bool IsNotExecuted =
       Reason != refusal_reason::Unknown && Reason != refusal_reason::Timeout;
   if (IsNotExecuted && Reason != refusal_reason::NoRoute)
-    RetryAfter = retryAfter();
+    RetryAfter = retryAfter(Request.Service, Now);
   Out.push_back(refuse_request{
       .Request = Found->first, .Reason = Reason, .RetryAfter = RetryAfter});
   report(Request, {.Step = request_step::Refused, .Reason = Reason}, Now);
   finish(Found);
 }
 
-duration gateway_engine::retryAfter() {
-  return MinRetryAfter + std::chrono::duration_cast<duration>(
-                             (MaxRetryAfter - MinRetryAfter) * Random.unit());
+// Not before a server accepts requests again, if all of them restrain requests.
+duration gateway_engine::retryAfter(const service_id &Service, time_point Now) {
+  const duration Usual =
+      MinRetryAfter + std::chrono::duration_cast<duration>(
+                          (MaxRetryAfter - MinRetryAfter) * Random.unit());
+  const time_point Next = Pool.nextRequest(Service, Now);
+  return Next == time_point::max() ? Usual : std::max(Usual, Next - Now);
 }
 
 void gateway_engine::handleTimer(const timer &Timer, time_point Now,
--- a/modules/bw_gateway/engine/gateway_engine.h
+++ b/modules/bw_gateway/engine/gateway_engine.h
@@ -156,12 +156,14 @@
   void cancelOpen(request_number Number, request_state &Request, commands &Out);
   std::optional<attempt> closeAttempt(request_state &Request,
                                       attempt_number Number);
+  void applyStatement(const request_state &Request, const attempt_ended &Event,
+                      time_point Now);
   double declinedWeight(const service_id &Service) const;
   void recordLatency(const request_state &Request, const attempt &Ended,
                      time_point Now);
   duration slowAfter(const gateway_route &Route) const;
   duration hedgeAfter(const gateway_route &Route) const;
-  duration retryAfter();
+  duration retryAfter(const service_id &Service, time_point Now);
   double budgetCapacity() const;
   bool takeHedgeToken(const request_state &Request);
   retry_budget &budgetOf(const service_id &Service);
--- a/modules/bw_gateway/messages/gateway_events.h
+++ b/modules/bw_gateway/messages/gateway_events.h
@@ -47,6 +47,20 @@
 /// Returns the name for logs and metrics, for example `not_executed`.
 std::string_view outcomeName(attempt_outcome Outcome);
 
+/// What a server says of itself in an answer.
+struct server_statement {
+  /// Requests per second that it accepts from all hosts together; nothing if it
+  /// names no limit.
+  std::optional<double> RequestLimit;
+  /// It is shutting down and accepts no new requests.
+  bool IsLeaving = false;
+  /// Time in which it wants no requests from this host. Only in a refusal.
+  std::optional<duration> RetryAfter;
+
+  friend bool operator==(const server_statement &,
+                         const server_statement &) = default;
+};
+
 struct attempt_ended {
   request_number Request;
   attempt_number Attempt;
@@ -56,6 +70,8 @@
   /// True when the whole answer is buffered; false while its body is still
   /// being received.
   bool IsComplete = true;
+  /// Set if the server itself answered.
+  std::optional<server_statement> Statement = {};
 };
 
 /// The rest of a relayed answer was received completely, or broke off.
@@ -98,6 +114,9 @@
   float Bad = 0;
   /// In-flight requests of that host at the server when it reported.
   std::uint16_t InFlight = 0;
+  /// The last statement of the server since the last report, without its
+  /// `RetryAfter`, which concerns one host.
+  std::optional<server_statement> Statement = {};
 };
 
 /// Sequence number of a host's reports.
@@ -132,6 +151,7 @@
   std::uint16_t Remote = 0;
   float Good = 0;
   float Bad = 0;
+  std::optional<server_statement> Statement = {};
 };
 
 /// Load and outcomes that an aggregator sends to the hosts of its data centre.
--- a/modules/bw_gateway/servers/load_exchange.cpp
+++ b/modules/bw_gateway/servers/load_exchange.cpp
@@ -44,7 +44,10 @@
   for (auto &[Server, Record] : Records) {
     Record.ForLocal = {};
     Record.ForRemote = {};
+    Record.StatementForLocal.reset();
+    Record.StatementForRemote.reset();
   }
+  countSenders();
   FailureForRemote = false;
 }
 
@@ -57,6 +60,30 @@
   queueForRemote(Server, MoreGood, MoreBad);
 }
 
+void load_exchange::recordStatement(const backend_server_id &Server,
+                                    const server_statement &Statement) {
+  Records[Server].UnreportedStatement = {.RequestLimit = Statement.RequestLimit,
+                                         .IsLeaving = Statement.IsLeaving,
+                                         .RetryAfter = {}};
+  forward(Server, Records[Server].UnreportedStatement);
+}
+
+void load_exchange::forward(const backend_server_id &Server,
+                            const std::optional<server_statement> &Statement) {
+  if (!Duty.IsFirst || !Statement)
+    return;
+  Records[Server].StatementForLocal = Statement;
+  Records[Server].StatementForRemote = Statement;
+}
+
+void load_exchange::countSenders() {
+  if (!Duty.IsAggregator)
+    return;
+  LocalSenders = {Self};
+  for (const auto &[Host, Load] : LocalHosts)
+    LocalSenders.push_back(Host);
+}
+
 void load_exchange::queueForRemote(const backend_server_id &Server, float Good,
                                    float Bad) {
   if (!Duty.IsFirst)
@@ -108,13 +135,16 @@
   peer_reported Result{.Host = Self, .Number = Number, .Servers = {}};
   for (auto &[Server, Record] : Records) {
     const std::uint32_t InFlight = countAt(Own, Server);
-    if (InFlight == 0 && Record.Unreported.isEmpty())
+    if (InFlight == 0 && Record.Unreported.isEmpty() &&
+        !Record.UnreportedStatement)
       continue;
     Result.Servers.push_back({.Server = Server,
                               .Good = Record.Unreported.Good,
                               .Bad = Record.Unreported.Bad,
-                              .InFlight = saturatedCount(InFlight)});
+                              .InFlight = saturatedCount(InFlight),
+                              .Statement = Record.UnreportedStatement});
     Record.Unreported = {};
+    Record.UnreportedStatement.reset();
   }
   // Reports of others can leave records of servers that this host does not
   // list.
@@ -132,18 +162,25 @@
                          .Local = 0,
                          .Remote = 0,
                          .Good = Record.ForLocal.Good,
-                         .Bad = Record.ForLocal.Bad};
+                         .Bad = Record.ForLocal.Bad,
+                         .Statement = Record.StatementForLocal};
     Record.ForLocal = {};
+    Record.StatementForLocal.reset();
     if (WithLoad) {
       Item.Local = saturatedCount(Record.LocalInFlight + countAt(Own, Server));
       Item.Remote = saturatedCount(Record.RemoteInFlight);
     }
-    if (Item.Local > 0 || Item.Remote > 0 || Item.Good > 0 || Item.Bad > 0)
+    if (Item.Local > 0 || Item.Remote > 0 || Item.Good > 0 || Item.Bad > 0 ||
+        Item.Statement)
       Result.Servers.push_back(std::move(Item));
   }
-  if (WithLoad)
+  if (WithLoad) {
+    // Receivers count the hosts that send requests by this list.
+    Result.Included.emplace_back(
+        Self, Reported.empty() ? report_number() : Reported.back().first);
     for (const auto &[Host, Load] : LocalHosts)
       Result.Included.emplace_back(Host, Load.Number);
+  }
   return Result;
 }
 
@@ -154,7 +191,9 @@
   const load_map Own = loadMap(OwnLoad);
   FailureForRemote = false;
   for (auto &[Server, Record] : Records) {
-    server_report Item{.Server = Server};
+    server_report Item{.Server = Server,
+                       .Statement = Record.StatementForRemote};
+    Record.StatementForRemote.reset();
     // Traffic between data centres is costly, so servers without failures are
     // omitted.
     if (Record.ForRemote.Bad > 0) {
@@ -165,7 +204,7 @@
     if (WithLoad)
       Item.InFlight =
           saturatedCount(Record.LocalInFlight + countAt(Own, Server));
-    if (Item.InFlight > 0 || Item.Bad > 0)
+    if (Item.InFlight > 0 || Item.Bad > 0 || Item.Statement)
       Result.Servers.push_back(std::move(Item));
   }
   return Result;
@@ -177,11 +216,13 @@
   if (Report.HasLoad)
     replaceLoad(LocalHosts[Report.Host], &record::LocalInFlight, Report.Servers,
                 Now);
+  countSenders();
   for (const server_report &Each : Report.Servers) {
     // All hosts of the data centre have already received a broadcast.
     if (Duty.IsFirst && !Report.IsBroadcast)
       Records[Each.Server].ForLocal.add(Each.Good, Each.Bad);
     queueForRemote(Each.Server, Each.Good, Each.Bad);
+    forward(Each.Server, Each.Statement);
   }
 }
 
@@ -192,8 +233,12 @@
     replaceLoad(RemoteDataCentres[Summary.DataCentre], &record::RemoteInFlight,
                 Summary.Servers, Now);
   if (Duty.IsFirst)
-    for (const server_report &Each : Summary.Servers)
-      Records[Each.Server].ForLocal.add(Each.Good, Each.Bad);
+    for (const server_report &Each : Summary.Servers) {
+      record &Record = Records[Each.Server];
+      Record.ForLocal.add(Each.Good, Each.Bad);
+      if (Each.Statement)
+        Record.StatementForLocal = Each.Statement;
+    }
 }
 
 void load_exchange::receive(const load_aggregate &Aggregate, time_point Now) {
@@ -204,6 +249,9 @@
   if (Duty.IsAggregator)
     return;
   clearAggregate();
+  LocalSenders.clear();
+  for (const auto &[Host, Number] : Aggregate.Included)
+    LocalSenders.push_back(Host);
   for (const aggregated_load &Each : Aggregate.Servers) {
     record &Record = Records[Each.Server];
     Record.AggregatedLocal = Each.Local;
@@ -274,8 +322,11 @@
 void load_exchange::expire(time_point Now) {
   expire(LocalHosts, &record::LocalInFlight, Now);
   expire(RemoteDataCentres, &record::RemoteInFlight, Now);
+  countSenders();
   if (AggregateAt != time_point() && Now - AggregateAt >= ReportTimeout) {
     AggregateAt = {};
     clearAggregate();
+    if (!Duty.IsAggregator)
+      LocalSenders.clear();
   }
 }
--- a/modules/bw_gateway/servers/load_exchange.h
+++ b/modules/bw_gateway/servers/load_exchange.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -27,6 +28,13 @@
 
   /// Records outcomes of this host's own requests.
   void recordOutcomes(const backend_server_id &Server, double Good, double Bad);
+  /// Records what a server said to this host of a limit or of its leaving.
+  void recordStatement(const backend_server_id &Server,
+                       const server_statement &Statement);
+  /// Returns the hosts of the own data centre that have requests, including
+  /// this one; empty while it does not know them.
+  const std::vector<host_id> &localSenders() const { return LocalSenders; }
+
   /// Drops the state of a server that was removed or has restarted.
   void forget(const backend_server_id &Server);
 
@@ -84,6 +92,10 @@
     /// At other hosts: sums received from an aggregator, without own requests.
     std::uint32_t AggregatedLocal = 0;
     std::uint32_t AggregatedRemote = 0;
+    /// Statements of the server not yet reported, and to be forwarded.
+    std::optional<server_statement> UnreportedStatement;
+    std::optional<server_statement> StatementForLocal;
+    std::optional<server_statement> StatementForRemote;
 
     friend bool operator==(const record &, const record &) = default;
   };
@@ -105,6 +117,11 @@
               time_point Now);
   void clearAggregate();
   void subtractOwnLoad(const load_aggregate &Aggregate);
+  /// Queues a statement that other hosts have not heard yet.
+  void forward(const backend_server_id &Server,
+               const std::optional<server_statement> &Statement);
+  /// Sets the senders of the data centre at an aggregator.
+  void countSenders();
   void queueForRemote(const backend_server_id &Server, float Good, float Bad);
 
   host_id Self;
@@ -116,6 +133,7 @@
   std::unordered_map<backend_server_id, record> Records;
   std::map<host_id, reported_load> LocalHosts;
   std::map<data_centre_id, reported_load> RemoteDataCentres;
+  std::vector<host_id> LocalSenders;
   /// When an aggregate with load was last received.
   time_point AggregateAt{};
   bool HasUnreportedFailure = false;
--- a/modules/bw_gateway/servers/server_pool.h
+++ b/modules/bw_gateway/servers/server_pool.h
@@ -6,6 +6,7 @@
 #include "bw_gateway/messages/gateway_events.h"
 #include "bw_gateway/servers/load_exchange.h"
 #include "bw_gateway/servers/server_evidence.h"
+#include "bw_gateway/servers/server_restraint.h"
 
 #include <cstdint>
 #include <functional>
@@ -81,7 +82,14 @@
     Ejected,
     Returned,
     /// No host is known to have sent it a request for two seconds.
-    Unused
+    Unused,
+    /// It names a limit on the requests of all hosts, or another one than
+    /// before.
+    Limited,
+    /// It no longer names a limit.
+    LimitEnded,
+    /// It wants no requests from this host for a while.
+    Deferred
   };
   kind Kind = kind::Added;
   listed_server Server;
@@ -90,6 +98,11 @@
   std::optional<duration> EvidenceAge = {};
   /// Time since a host is known to have used the server.
   duration UnusedFor{};
+  /// Requests per second that the server accepts, and this host's share.
+  double Limit = 0;
+  double OwnRate = 0;
+  /// Time in which the server wants no requests.
+  duration RefusesFor{};
 };
 
 /// The backend servers of all services, with their eligibility, in-flight
@@ -127,6 +140,15 @@
   /// Records that a request takes much longer than usual.
   void addSlowness(const backend_server_id &Server, time_point Now);
 
+  /// Applies what the server said of itself in an answer to a request that was
+  /// sent at `SentAt`, and reports it to other hosts.
+  void addStatement(const backend_server_id &Server,
+                    const server_statement &Statement, time_point SentAt,
+                    time_point Now);
+  /// Returns when this host may next send a request to some server of the
+  /// service that restrains requests; the maximum if there is none.
+  time_point nextRequest(const service_id &Service, time_point Now) const;
+
   /// Applies a report of a host of the own data centre.
   void peerReported(const peer_reported &Report, time_point Now);
   void summaryReported(const load_summary &Summary, time_point Now);
@@ -165,6 +187,9 @@
     /// When a host last had requests at the server or reported an outcome, as
     /// far as known here; initially when the server was listed.
     time_point UsedAt{};
+    server_restraint Restraint;
+    /// This host's share of the server's limit, in requests per second.
+    double OwnRate = 0;
     std::uint32_t OwnInFlight = 0;
     bool Used = false;
     bool Ejected = false;
@@ -210,6 +235,13 @@
   /// Records that a host uses the server.
   void recordUse(const backend_server_id &Server, time_point Now);
   void reportUnused(entry &Entry, time_point Now);
+  void applyReported(const backend_server_id &Server,
+                     const std::optional<server_statement> &Statement,
+                     time_point Now);
+  void reportLimit(const entry &Entry, time_point Now);
+  /// Sets this host's share of the server's limit, if it has one.
+  void updateRate(entry &Entry, time_point Now);
+  double ownShare(const entry &Entry, double Limit) const;
   static std::optional<duration> evidenceAge(const entry &Entry,
                                              time_point Now);
   void addShared(const backend_server_id &Server, float Good, float Bad,
--- a/modules/bw_gateway_daemon/log/decision_log.cpp
+++ b/modules/bw_gateway_daemon/log/decision_log.cpp
@@ -93,6 +93,12 @@
     return log_event::BackendServerReturned;
   case pool_change::kind::Unused:
     return log_event::BackendServerUnused;
+  case pool_change::kind::Limited:
+    return log_event::BackendServerLimited;
+  case pool_change::kind::LimitEnded:
+    return log_event::BackendServerLimitEnded;
+  case pool_change::kind::Deferred:
+    return log_event::BackendServerDeferred;
   }
   return log_event::BackendServerListed;
 }
@@ -105,7 +111,10 @@
             {"start", std::to_string(Change.Server.Start.value())},
             {"failure_share", fmt::format("{:.2f}", Change.FailureShare)},
             {"evidence_age_ms", ageText(Change.EvidenceAge)},
-            {"unused_ms", milliseconds(Change.UnusedFor)}});
+            {"unused_ms", milliseconds(Change.UnusedFor)},
+            {"limit", fmt::format("{:.2f}", Change.Limit)},
+            {"own_rate", fmt::format("{:.3f}", Change.OwnRate)},
+            {"refuses_ms", milliseconds(Change.RefusesFor)}});
 }
 
 void logConfiguration(config_version Old, config_version New) {
--- a/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
+++ b/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
@@ -31,6 +31,12 @@
     return "returned";
   case pool_change::kind::Unused:
     return "unused";
+  case pool_change::kind::Limited:
+    return "limited";
+  case pool_change::kind::LimitEnded:
+    return "limit_ended";
+  case pool_change::kind::Deferred:
+    return "deferred";
   }
   return "";
 }
--- a/modules/bw_gateway_daemon/peers/exchange_messages.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_messages.cpp
@@ -3,6 +3,7 @@
 #include "bw_gateway_daemon/peers/exchange.pb.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 using namespace bw;
@@ -56,6 +57,33 @@
     throw exchange_error("outcome count is out of range");
 }
 
+template <typename Record>
+void encodeStatement(const std::optional<server_statement> &Statement,
+                     Record &Result) {
+  if (!Statement)
+    return;
+  auto *Encoded = Result.mutable_statement();
+  Encoded->set_has_limit(Statement->RequestLimit.has_value());
+  Encoded->set_limit(Statement->RequestLimit.value_or(0));
+  Encoded->set_leaving(Statement->IsLeaving);
+}
+
+template <typename Record>
+std::optional<server_statement> decodeStatement(const Record &Encoded) {
+  if (!Encoded.has_statement())
+    return std::nullopt;
+  server_statement Result{.RequestLimit = {},
+                          .IsLeaving = Encoded.statement().leaving(),
+                          .RetryAfter = {}};
+  if (Encoded.statement().has_limit()) {
+    const double Limit = Encoded.statement().limit();
+    if (!(Limit >= 0 && std::isfinite(Limit)))
+      throw exchange_error("limit of a server is out of range");
+    Result.RequestLimit = Limit;
+  }
+  return Result;
+}
+
 std::uint16_t saturatedCount(std::uint32_t Count) {
   return static_cast<std::uint16_t>(std::min<std::uint32_t>(
       Count, std::numeric_limits<std::uint16_t>::max()));
@@ -72,6 +100,7 @@
     Server->set_far(Each.Remote);
     Server->set_good(Each.Good);
     Server->set_bad(Each.Bad);
+    encodeStatement(Each.Statement, *Server);
   }
   for (const auto &[Host, Number] : Aggregate.Included) {
     auto *Included = Result.add_included();
@@ -92,7 +121,8 @@
                               .Local = saturatedCount(Each.near()),
                               .Remote = saturatedCount(Each.far()),
                               .Good = Each.good(),
-                              .Bad = Each.bad()});
+                              .Bad = Each.bad(),
+                              .Statement = decodeStatement(Each)});
   }
   return Result;
 }
@@ -148,6 +178,7 @@
     Server->set_good(Each.Good);
     Server->set_bad(Each.Bad);
     Server->set_in_flight(Each.InFlight);
+    encodeStatement(Each.Statement, *Server);
   }
   return Result.SerializeAsString();
 }
@@ -179,7 +210,8 @@
         {.Server = backend_server_id(Each.server()),
          .Good = Each.good(),
          .Bad = Each.bad(),
-         .InFlight = saturatedCount(Each.in_flight())});
+         .InFlight = saturatedCount(Each.in_flight()),
+         .Statement = decodeStatement(Each)});
   }
   if (!Report.summary_of().empty())
     Result.Summary = {.DataCentre = data_centre_id(Report.summary_of()),
--- a/modules/bw_gateway_daemon/peers/exchange_messages_test.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_messages_test.cpp
@@ -59,12 +59,16 @@
          .Summary = load_summary{.DataCentre = data_centre_id("a"),
                                  .HasLoad = false,
                                  .Servers = {{.Server = backend_server_id("s"),
-                                              .InFlight = 2}}},
+                                              .InFlight = 2,
+                                              .Statement =
+                                                  server_statement{
+                                                      .RequestLimit = 0.5}}}},
          .Aggregate = {},
          .State = {}}));
     CPPUNIT_ASSERT(Got.Summary->DataCentre == data_centre_id("a"));
     CPPUNIT_ASSERT(!Got.Summary->HasLoad);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Got.Summary->Servers.size());
+    CPPUNIT_ASSERT(Got.Summary->Servers[0].Statement->RequestLimit == 0.5);
     CPPUNIT_ASSERT(Got.Observations.Servers.empty());
   }
 
@@ -73,12 +77,15 @@
         {.Observations = {.Host = host_id("h1"), .Servers = {}},
          .Summary = {},
          .Aggregate =
-             load_aggregate{.Servers = {{.Server = backend_server_id("s"),
-                                         .Local = 3,
-                                         .Remote = 4,
-                                         .Good = 2,
-                                         .Bad = 0.25}},
-                            .Included = {{host_id("h2"), report_number(3)}}},
+             load_aggregate{
+                 .Servers = {{.Server = backend_server_id("s"),
+                              .Local = 3,
+                              .Remote = 4,
+                              .Good = 2,
+                              .Bad = 0.25,
+                              .Statement =
+                                  server_statement{.IsLeaving = true}}},
+                 .Included = {{host_id("h2"), report_number(3)}}},
          .State = {}}));
     CPPUNIT_ASSERT(Got.Aggregate && !Got.Observations.HasLoad);
     const aggregated_load &Server = Got.Aggregate->Servers.at(0);
--- a/modules/bw_gateway_fleet/fleet/fleet_options.h
+++ b/modules/bw_gateway_fleet/fleet/fleet_options.h
@@ -19,6 +19,9 @@
     Crash,       ///< Servers end for good; their entries lapse.
     Start,       ///< New servers join; `Share` is relative to the initial ones.
     HostRestart, ///< Hosts lose all state and start again at once.
+    Limit,       ///< Servers name a limit of `Strength` requests per second.
+    Leave,  ///< Servers say for good that they leave; the list does not say so.
+    Refuse, ///< Servers decline requests, and want none for `Strength` seconds.
   };
   kind Kind = kind::Gray;
   duration At{};
--- a/modules/bw_gateway_fleet/fleet/fleet_rules.cpp
+++ b/modules/bw_gateway_fleet/fleet/fleet_rules.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <deque>
 
 using namespace bw;
 using namespace std::chrono_literals;
@@ -13,6 +14,15 @@
 // are not served.
 constexpr double MinUnservedShare = 0.1;
 constexpr double MaxUnservedShare = 0.5;
+// A limit binds this long after it was first named, and for hosts that passed
+// it on this long ago.
+constexpr duration LimitDelay = 3s;
+constexpr duration HostDelay = 500ms;
+constexpr duration LimitWindow = 4s;
+constexpr double LimitFactor = 1.5;
+constexpr double LimitSlack = 5;
+constexpr duration DrainBound = 2500ms;
+constexpr std::size_t DeferralSlack = 2;
 
 } // namespace
 
@@ -20,6 +30,12 @@
   switch (Rule) {
   case fleet_rule::Floor:
     return "FLOOR";
+  case fleet_rule::Limit:
+    return "LIMIT";
+  case fleet_rule::Drain:
+    return "DRAIN";
+  case fleet_rule::Defer:
+    return "BUDGET";
   }
   return "";
 }
@@ -42,8 +58,114 @@
   return Least == Uses.end() ? use_record() : *Least;
 }
 
+void fleet_rules::recordArrival(std::size_t Server, std::size_t Host,
+                                time_point Sent, time_point At) {
+  Arrivals[Server].push_back({Host, Sent, At});
+}
+
+void fleet_rules::recordLimit(std::size_t Server, double Limit, time_point From,
+                              time_point Until) {
+  Limits[Server] = {Limit, From, Until};
+}
+
+void fleet_rules::recordPassedOn(std::size_t Server, std::size_t Host,
+                                 bool IsLimited, bool IsLeaving,
+                                 time_point At) {
+  if (IsLimited)
+    PassedOnLimit.try_emplace({Server, Host}, At);
+  if (IsLeaving)
+    PassedOnLeaving.try_emplace({Server, Host}, At);
+}
+
+void fleet_rules::recordDeferral(std::size_t Server, std::size_t Host,
+                                 time_point At, time_point Until) {
+  Deferrals.push_back({Server, Host, At, Until});
+}
+
 std::vector<fleet_violation> fleet_rules::violations() const {
   std::vector<fleet_violation> Result;
+  checkFloor(Result);
+  checkLimits(Result);
+  checkLeaving(Result);
+  checkDeferrals(Result);
+  return Result;
+}
+
+void fleet_rules::checkLimits(std::vector<fleet_violation> &Result) const {
+  for (const auto &[Server, Limited] : Limits) {
+    const auto Found = Arrivals.find(Server);
+    if (Found == Arrivals.end())
+      continue;
+    const double Allowed =
+        LimitFactor * Limited.Limit *
+            std::chrono::duration<double>(LimitWindow).count() +
+        LimitSlack;
+    std::deque<time_point> Window;
+    std::size_t Most = 0;
+    time_point MostAt{};
+    for (const arrival &Each : Found->second) {
+      const auto Passed = PassedOnLimit.find({Server, Each.Host});
+      if (Each.At < Limited.From + LimitDelay || Each.At > Limited.Until ||
+          Passed == PassedOnLimit.end() || Each.At < Passed->second + HostDelay)
+        continue;
+      Window.push_back(Each.At);
+      while (Window.front() <= Each.At - LimitWindow)
+        Window.pop_front();
+      if (Window.size() > Most) {
+        Most = Window.size();
+        MostAt = Each.At;
+      }
+    }
+    if (double(Most) > Allowed)
+      Result.push_back(
+          {.Rule = fleet_rule::Limit,
+           .At = MostAt,
+           .Detail = fmt::format(
+               "server {} with a limit of {} got {} requests in 4 s", Server,
+               Limited.Limit, Most)});
+  }
+}
+
+void fleet_rules::checkLeaving(std::vector<fleet_violation> &Result) const {
+  for (const auto &[Link, Passed] : PassedOnLeaving) {
+    const auto Found = Arrivals.find(Link.first);
+    if (Found == Arrivals.end())
+      continue;
+    for (const arrival &Each : Found->second)
+      if (Each.Host == Link.second && Each.Sent > Passed + DrainBound) {
+        Result.push_back({.Rule = fleet_rule::Drain,
+                          .At = Each.At,
+                          .Detail = fmt::format("leaving server {} got a "
+                                                "request of host {}",
+                                                Link.first, Each.Host)});
+        break;
+      }
+  }
+}
+
+void fleet_rules::checkDeferrals(std::vector<fleet_violation> &Result) const {
+  for (const deferral &Deferral : Deferrals) {
+    const auto Found = Arrivals.find(Deferral.Server);
+    const auto Count =
+        Found == Arrivals.end()
+            ? 0
+            : std::count_if(Found->second.begin(), Found->second.end(),
+                            [&](const arrival &Each) {
+                              return Each.Host == Deferral.Host &&
+                                     Each.At >= Deferral.At + HostDelay &&
+                                     Each.At < Deferral.Until;
+                            });
+    if (static_cast<std::size_t>(Count) > DeferralSlack)
+      Result.push_back(
+          {.Rule = fleet_rule::Defer,
+           .At = Deferral.At,
+           .Detail = fmt::format("server {} got {} requests of host {} that it "
+                                 "did not want",
+                                 Deferral.Server, Count, Deferral.Host)});
+  }
+}
+
+void fleet_rules::checkFloor(std::vector<fleet_violation> &Result) const {
   time_point NextReport{};
   for (const use_record &Use : Uses) {
     const bool IsBelow =
@@ -71,5 +193,4 @@
              Use.Sound - Use.Used, Use.Sound, Unserved, Sent)});
     NextReport = Use.At + 1s;
   }
-  return Result;
 }
--- a/modules/bw_gateway_fleet/fleet/fleet_server.cpp
+++ b/modules/bw_gateway_fleet/fleet/fleet_server.cpp
@@ -53,10 +53,17 @@
 
 void fleet_server::receive(const fleet_attempt_pointer &Attempt) {
   LastArrival = Queue.now();
+  const time_point Now = Queue.now();
+  if (Now < RefusalEnd) {
+    server_statement Refusal = statement(Now);
+    Refusal.RetryAfter = RefusalPause;
+    return Attempt->OnEnd(attempt_outcome::NotExecuted, Declined, Refusal);
+  }
   if (Busy < Options.Slots)
     return work(Attempt);
   if (Waiting.size() >= QueueLimit)
-    return Attempt->OnEnd(attempt_outcome::NotExecuted, Declined);
+    return Attempt->OnEnd(attempt_outcome::NotExecuted, Declined,
+                          statement(Now));
   Waiting.push_back(Attempt);
 }
 
@@ -78,7 +85,8 @@
     if (!IsUp)
       return;
     --Busy;
-    Attempt->OnEnd(attempt_outcome::Answered, IsFailing ? Failed : Served);
+    Attempt->OnEnd(attempt_outcome::Answered, IsFailing ? Failed : Served,
+                   statement(Queue.now()));
     while (!Waiting.empty() && Busy < Options.Slots) {
       const fleet_attempt_pointer Next = Waiting.front();
       Waiting.pop_front();
@@ -104,3 +112,21 @@
   Slowness = Factor;
   FaultEnd = Until;
 }
+
+void fleet_server::limit(double Rate, time_point Until) {
+  Limit = Rate;
+  LimitEnd = Until;
+}
+
+void fleet_server::refuse(duration Pause, time_point Until) {
+  RefusalPause = Pause;
+  RefusalEnd = Until;
+}
+
+server_statement fleet_server::statement(time_point Now) const {
+  server_statement Result{
+      .RequestLimit = {}, .IsLeaving = IsLeaving, .RetryAfter = {}};
+  if (Now < LimitEnd)
+    Result.RequestLimit = Limit;
+  return Result;
+}
--- a/modules/bw_gateway_fleet/fleet/fleet_server.h
+++ b/modules/bw_gateway_fleet/fleet/fleet_server.h
@@ -20,7 +20,7 @@
   start_attempt Command;
   bool IsCancelled = false;
   /// Called with the outcome when the server has finished with the attempt.
-  std::function<void(attempt_outcome, int Status)> OnEnd;
+  std::function<void(attempt_outcome, int Status, server_statement)> OnEnd;
 };
 using fleet_attempt_pointer = std::shared_ptr<fleet_attempt>;
 
@@ -35,6 +35,12 @@
   void crash();
   void fail(double Share, time_point Until);
   void slow(double Factor, time_point Until);
+  /// Names a limit in requests per second until then.
+  void limit(double Rate, time_point Until);
+  void leave() { IsLeaving = true; }
+  /// Declines all requests until then, each time for `Pause`.
+  void refuse(duration Pause, time_point Until);
+  server_statement statement(time_point Now) const;
 
   bool isUp() const { return IsUp; }
   /// True when the server has had no fault for long enough to count as sound.
@@ -58,6 +64,11 @@
   time_point FaultEnd{};
   double GrayShare = 0;
   double Slowness = 1;
+  bool IsLeaving = false;
+  double Limit = 0;
+  time_point LimitEnd{};
+  duration RefusalPause{};
+  time_point RefusalEnd{};
   std::uint32_t Busy = 0;
   std::deque<fleet_attempt_pointer> Waiting;
 };
--- a/modules/bw_gateway_fleet/fleet/gateway_fleet.cpp
+++ b/modules/bw_gateway_fleet/fleet/gateway_fleet.cpp
@@ -174,6 +174,15 @@
       Server.fail(Fault.Strength, Until);
     } else if (Fault.Kind == fleet_fault::kind::Slow) {
       Server.slow(Fault.Strength, Until);
+    } else if (Fault.Kind == fleet_fault::kind::Limit) {
+      Server.limit(Fault.Strength, Until);
+      Rules.recordLimit(Index, Fault.Strength, Queue.now(), Until);
+    } else if (Fault.Kind == fleet_fault::kind::Leave) {
+      Server.leave();
+    } else if (Fault.Kind == fleet_fault::kind::Refuse) {
+      Server.refuse(std::chrono::duration_cast<duration>(
+                        std::chrono::duration<double>(Fault.Strength)),
+                    Until);
     } else {
       Server.crash();
       Queue.after(EntryLifetime, [this, Index] {
@@ -347,40 +356,60 @@
   const std::size_t Server = ServerIndexes.at(Command.Server);
   const duration Delay = serverDelay(Index, Server);
   Attempt->OnEnd = [this, Delay, Weak = std::weak_ptr(Attempt)](
-                       attempt_outcome Outcome, int Status) {
-    if (const auto Ended = Weak.lock())
-      Queue.after(Delay, [this, Ended, Outcome, Status] {
-        end(Ended, Outcome, Status);
-      });
+                       attempt_outcome Outcome, int Status,
+                       const server_statement &Statement) {
+    const auto Ended = Weak.lock();
+    if (!Ended)
+      return;
+    if (Statement.RetryAfter)
+      Rules.recordDeferral(ServerIndexes.at(Ended->Command.Server), Ended->Host,
+                           Queue.now(), Queue.now() + *Statement.RetryAfter);
+    Queue.after(Delay, [this, Ended, Outcome, Status, Statement] {
+      end(Ended, Outcome, Status, Statement);
+    });
   };
   Open.at(Command.Request).Attempts[Command.Attempt] = Attempt;
-  Queue.after(Delay, [this, Attempt, Server] {
-    if (Servers[Server]->isUp())
-      return Servers[Server]->receive(Attempt);
-    Queue.after(ConnectTimeout,
-                [this, Attempt] { end(Attempt, attempt_outcome::NotSent, 0); });
+  const time_point Sent = Open.at(Command.Request).Sent;
+  Queue.after(Delay, [this, Attempt, Server, Sent] {
+    if (!Servers[Server]->isUp()) {
+      Queue.after(ConnectTimeout, [this, Attempt] {
+        end(Attempt, attempt_outcome::NotSent, 0, std::nullopt);
+      });
+      return;
+    }
+    Rules.recordArrival(Server, Attempt->Host, Sent, Queue.now());
+    Servers[Server]->receive(Attempt);
   });
 }
 
 void gateway_fleet::end(const fleet_attempt_pointer &Attempt,
-                        attempt_outcome Outcome, int Status) {
+                        attempt_outcome Outcome, int Status,
+                        const std::optional<server_statement> &Statement) {
   const auto Found = Open.find(Attempt->Command.Request);
   if (Attempt->IsCancelled || Found == Open.end() ||
       Hosts[Attempt->Host].Start != Attempt->HostStart)
     return;
   Found->second.Statuses[Attempt->Command.Attempt] = Status;
+  if (Statement)
+    Found->second.Statements[Attempt->Command.Attempt] = *Statement;
   handle(Attempt->Host, attempt_ended{.Request = Attempt->Command.Request,
                                       .Attempt = Attempt->Command.Attempt,
                                       .Outcome = Outcome,
-                                      .Status = Status});
+                                      .Status = Status,
+                                      .Statement = Statement});
 }
 
 void gateway_fleet::on(std::size_t, const cancel_attempt &Command) {
   Open.at(Command.Request).Attempts.at(Command.Attempt)->IsCancelled = true;
 }
 
-void gateway_fleet::on(std::size_t, const relay_answer &Command) {
+void gateway_fleet::on(std::size_t Index, const relay_answer &Command) {
   const open_request &Request = Open.at(Command.Request);
+  const server_statement &Statement = Request.Statements.at(Command.Attempt);
+  Rules.recordPassedOn(
+      ServerIndexes.at(Request.Attempts.at(Command.Attempt)->Command.Server),
+      Index, Statement.RequestLimit.has_value(), Statement.IsLeaving,
+      Queue.now());
   finish(Command.Request, Request.Statuses.at(Command.Attempt) == Ok);
 }
 
--- a/modules/bw_gateway_fleet/fleet/gateway_fleet.h
+++ b/modules/bw_gateway_fleet/fleet/gateway_fleet.h
@@ -51,6 +51,7 @@
     time_point Sent{};
     std::map<attempt_number, fleet_attempt_pointer> Attempts;
     std::map<attempt_number, int> Statuses;
+    std::map<attempt_number, server_statement> Statements;
   };
   using shared_event = std::shared_ptr<const gateway_event>;
 
@@ -76,7 +77,7 @@
   void on(std::size_t Index, const limits_changed &Command);
   void finish(request_number Number, bool IsServed);
   void end(const fleet_attempt_pointer &Attempt, attempt_outcome Outcome,
-           int Status);
+           int Status, const std::optional<server_statement> &Statement);
   /// Delivers the event unless the link loses it.
   void send(std::size_t From, std::size_t To, const shared_event &Event);
 
--- a/modules/bw_gateway_fleet/fleet/gateway_fleet_test.cpp
+++ b/modules/bw_gateway_fleet/fleet/gateway_fleet_test.cpp
@@ -6,6 +6,7 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <vector>
 
 using namespace bw;
@@ -35,6 +36,10 @@
   CPPUNIT_TEST_SUITE(gateway_fleet_test);
   CPPUNIT_TEST(soundServersAreUsedWhileOthersFail);
   CPPUNIT_TEST(soundServersAreUsedAtLowTraffic);
+  CPPUNIT_TEST(namedLimitsAreKept);
+  CPPUNIT_TEST(namedLimitsAreKeptWhileHostsRestart);
+  CPPUNIT_TEST(leavingServersAreLeftAlone);
+  CPPUNIT_TEST(refusingServersAreLeftAlone);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -50,7 +55,69 @@
               {19, 41});
   }
 
+  // Seven servers in ten name a limit below their usual rate. Guards against
+  // hosts that each keep to a share, but together exceed the limit.
+  void namedLimitsAreKept() {
+    for (const double Limit : {0.3, 1.0, 2.0, 3.3})
+      checkStatement("limit",
+                     {.Kind = fleet_fault::kind::Limit,
+                      .At = 5s,
+                      .Length = 15s,
+                      .Share = 0.7,
+                      .Strength = Limit},
+                     fleet_rule::Limit);
+  }
+
+  // The same while hosts restart and lose what they were told.
+  void namedLimitsAreKeptWhileHostsRestart() {
+    checkStatement("limit and restarts",
+                   {.Kind = fleet_fault::kind::Limit,
+                    .At = 5s,
+                    .Length = 15s,
+                    .Share = 0.7,
+                    .Strength = 1},
+                   fleet_rule::Limit,
+                   fleet_fault{.Kind = fleet_fault::kind::HostRestart,
+                               .At = 12s,
+                               .Share = 0.3});
+  }
+
+  // Guards against requests to a server that said in an answer that it leaves,
+  // while the platform's list does not say so.
+  void leavingServersAreLeftAlone() {
+    checkStatement("leaving",
+                   {.Kind = fleet_fault::kind::Leave, .At = 5s, .Share = 0.2},
+                   fleet_rule::Drain);
+  }
+
+  // Guards against requests to a server that refused one and asked for a pause.
+  void refusingServersAreLeftAlone() {
+    checkStatement("refusing",
+                   {.Kind = fleet_fault::kind::Refuse,
+                    .At = 5s,
+                    .Length = 10s,
+                    .Share = 0.3,
+                    .Strength = 4},
+                   fleet_rule::Defer);
+  }
+
 private:
+  static void checkStatement(const char *Name, const fleet_fault &Fault,
+                             fleet_rule Rule,
+                             std::optional<fleet_fault> Second = {}) {
+    std::size_t Violations = 0;
+    for (std::uint64_t Seed = testSeed(); Seed < testSeed() + 2; ++Seed) {
+      fleet_options Options;
+      Options.Faults = {Fault};
+      if (Second)
+        Options.Faults.push_back(*Second);
+      const fleet_result Result = gateway_fleet(Options, Seed).run();
+      print(Name, Seed, Result);
+      Violations += Result.count(Rule);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Violations);
+  }
+
   // Plays the kept days and new ones, checks the rule, and checks that the
   // sound servers were in use at all times, whatever share was served.
   static void checkDays(const char *Name, const fleet_options &Options,
--- a/modules/bw_kernel/log/log_event.h
+++ b/modules/bw_kernel/log/log_event.h
@@ -42,6 +42,9 @@
   BackendServerListed = 1205,
   BackendServerGone = 1206,
   BackendServerUnused = 1207,
+  BackendServerLimited = 1208,
+  BackendServerLimitEnded = 1209,
+  BackendServerDeferred = 1210,
   // 1300: hosts and ownership.
   HostSuspected = 1300,
   HostJoined = 1301,
