Keep to the limits that servers name

Callers of servers in need waited behind requests that those servers had said they could not take: they got up to several times their limit (LIMIT).

Cause: the statement was not used.

--- a/modules/bw_gateway/servers/server_pool.cpp
+++ b/modules/bw_gateway/servers/server_pool.cpp
@@ -141,7 +141,7 @@
   for (const std::uint32_t Index : Found->second) {
     entry &Entry = Entries[Index];
     updateRate(Entry, Now);
-    if (Entry.Server.Leaving)
+    if (Entry.Server.Leaving || Entry.Restraint.nextRequest(Now) > Now)
       continue;
     reportUnused(Entry, Now);
     if (std::find(Excluded.begin(), Excluded.end(), Entry.Server.Server) !=
