Send nothing to a server that said that it leaves

Callers lost requests at servers that had said in their answers that they leave, while the platform's list did not say so yet (DRAIN).

Cause: only the list decided which servers leave.

--- a/modules/bw_gateway/servers/server_restraint.cpp
+++ b/modules/bw_gateway/servers/server_restraint.cpp
@@ -72,6 +72,8 @@
 }
 
 time_point server_restraint::nextRequest(time_point Now) const {
+  if (IsLeaving)
+    return time_point::max();
   time_point Result = Now;
   if (!limit(Now))
     return Result;
