Leave a server alone for the time that it asks for

Callers were sent to servers that had refused a request of the same host and asked it to wait (BUDGET), and spent their retries there.

Cause: the Retry-After of a server's 503 was not read. Change: the host sends nothing there until the time has passed.

--- a/modules/bw_gateway/servers/server_restraint.cpp
+++ b/modules/bw_gateway/servers/server_restraint.cpp
@@ -74,7 +74,7 @@
 time_point server_restraint::nextRequest(time_point Now) const {
   if (IsLeaving)
     return time_point::max();
-  time_point Result = Now;
+  time_point Result = std::max(Now, RefusesUntil);
   if (!limit(Now))
     return Result;
   const double Missing = 1 - tokens(Now);
