Do not reuse a server's connection after a refusal without a request id

Callers could be told 'not run, try again' for a request that a server had run (REFUSED), and such a request could run at a second server (TWICE).

Cause: a refusal without the id of its request was taken for the answer to the request that is open on the connection. A faulty server that writes an earlier refusal once more on a kept connection so refuses the next request, which it has run. Change: a connection that carried a refusal without an id is closed after it. One with an id was told apart before. Evidence: doesNotReuseServerConnectionAfterAnonymousRefusal failed before and passes now; 26 tests of bw_forward pass. Conclusion: costs a new connection for each refusal without an id.

--- a/modules/bw_forward/servers/server_connection.cpp
+++ b/modules/bw_forward/servers/server_connection.cpp
@@ -215,8 +215,13 @@
   Classification = classifyResponse(
       Head, Request.Headers.find(Options.Headers.RequestLabel).value_or(""),
       Options.Headers);
+  // A repeated refusal without an id could not be told from one of the next
+  // request.
+  const bool IsAnonymousRefusal =
+      Classification == response_class::NotExecuted &&
+      !Head.Headers.find(Options.Headers.RequestLabel);
   // A connection that carried a response to another request is not reused.
-  IsReusable = IsReusable && Head.KeepsConnection &&
+  IsReusable = IsReusable && Head.KeepsConnection && !IsAnonymousRefusal &&
                Classification != response_class::OtherRequest &&
                Classification != response_class::Unusable;
   if (Classification == response_class::OtherRequest)
--- a/modules/bw_forward/service/forward_service_test.cpp
+++ b/modules/bw_forward/service/forward_service_test.cpp
@@ -141,6 +141,7 @@
   CPPUNIT_TEST(reusesConnectionsOnBothSides);
   CPPUNIT_TEST(answersPipelinedRequestsInOrder);
   CPPUNIT_TEST(skipsLateResponsesToOtherRequests);
+  CPPUNIT_TEST(doesNotReuseServerConnectionAfterAnonymousRefusal);
   CPPUNIT_TEST(doesNotReuseServerConnectionWithExtraBytes);
   CPPUNIT_TEST(doesNotResendRequestAfterBrokenReusedConnection);
   CPPUNIT_TEST(reportsRefusedConnectionAsNotSent);
@@ -229,6 +230,21 @@
 
   // Guards against a late response to an earlier request that is relayed as the
   // response to the next one.
+  // Guards against a server that writes an earlier refusal once more: without a
+  // request id, the caller of the next request on the connection would be told
+  // that it was not executed.
+  void doesNotReuseServerConnectionAfterAnonymousRefusal() {
+    Caller->write(request("r1"));
+    const auto Arrived = Decide->next<request_arrived>();
+    const auto Connection = start(Arrived);
+    Connection->readUntil("\r\n\r\n");
+    Connection->write("HTTP/1.1 503 Service Unavailable\r\nBw-Not-Run: 1\r\n"
+                      "Content-Length: 0\r\n\r\n");
+    CPPUNIT_ASSERT(Decide->next<attempt_ended>().Outcome ==
+                   attempt_outcome::NotExecuted);
+    CPPUNIT_ASSERT(Connection->isClosedByPeer());
+  }
+
   void skipsLateResponsesToOtherRequests() {
     Caller->write(request("r2"));
     const auto Arrived = Decide->next<request_arrived>();
