Let the score of an instance expire at the entry hosts

Callers of bramleywinchd can lose the same way as those of the gateway: an entry host never sends a request to an instance whose owner once reported a high ejection score, as long as others have free slots.

The score that a forward reports is used until the next forward to that instance, which it prevents; power of two choices does not help, since the instance loses against every other one. Change: the score returns to 0 within five seconds. Ejections by the owner are told by other means and stay.

--- a/modules/bw_routing/picking/server_picker.cpp
+++ b/modules/bw_routing/picking/server_picker.cpp
@@ -112,8 +112,10 @@
   instance_entry &Entry = Instances[Known->second];
   if (Result.FreeSlots)
     Entry.Slots.report(static_cast<float>(Result.FreeSlots->value()), Now);
-  if (Result.Score)
+  if (Result.Score) {
     Entry.Score = static_cast<float>(std::max(*Result.Score, 0.0));
+    Entry.ScoreAt = Now;
+  }
 }
 
 void server_picker::notOwner(const backend_server_id &Instance,
@@ -284,7 +286,7 @@
       continue;
     const auto Found = makeCandidate(Index, Context);
     if (Found && First)
-      return better(*First, *Found);
+      return better(*First, *Found, Context.Now);
     if (Found)
       First = Found;
   }
@@ -300,19 +302,28 @@
     Eligible[Place] = Eligible.back();
     Eligible.pop_back();
     if (Found && First)
-      return better(*First, *Found);
+      return better(*First, *Found, Context.Now);
     if (Found)
       First = Found;
   }
   return First;
 }
 
-const server_picker::candidate &
-server_picker::better(const candidate &Left, const candidate &Right) const {
+float server_picker::score(const instance_entry &Entry, time_point Now) const {
+  const duration Age =
+      std::clamp(Now - Entry.ScoreAt, duration(0), Options.ScoreHorizon);
+  return Entry.Score *
+         (1 - static_cast<float>(Age.count()) /
+                  static_cast<float>(Options.ScoreHorizon.count()));
+}
+
+const server_picker::candidate &server_picker::better(const candidate &Left,
+                                                      const candidate &Right,
+                                                      time_point Now) const {
   const float LeftValue =
-      Options.Preference(Left.Free, Instances[Left.Instance].Score);
+      Options.Preference(Left.Free, score(Instances[Left.Instance], Now));
   const float RightValue =
-      Options.Preference(Right.Free, Instances[Right.Instance].Score);
+      Options.Preference(Right.Free, score(Instances[Right.Instance], Now));
   return RightValue > LeftValue ? Right : Left;
 }
 
--- a/modules/bw_routing/picking/server_picker.h
+++ b/modules/bw_routing/picking/server_picker.h
@@ -30,6 +30,9 @@
       [](float FreeSlots, float Score) { return FreeSlots / (1 + Score); };
   /// Time after which a reported number of free slots is no longer considered.
   duration SlotHorizon = std::chrono::seconds(1);
+  /// Time in which a reported score returns to 0. An instance that is not
+  /// picked because of its score gets no request that could correct it.
+  duration ScoreHorizon = std::chrono::seconds(5);
   /// Least estimate at which an instance counts as having a free slot.
   float MinFreeSlots = 0.5F;
   /// Number of times that a request is offered to an owner without permission
@@ -145,6 +148,7 @@
     time_point RedirectUntil{};
     /// Position in the ownership map.
     instance_index Owned;
+    time_point ScoreAt{};
     float Score = 0;
     bool Leaving = false;
   };
@@ -207,7 +211,9 @@
   std::optional<candidate> chooseByDraws(const tier &Tier,
                                          const pick_context &Context) const;
   std::optional<candidate> chooseFromEligible(const pick_context &Context);
-  const candidate &better(const candidate &Left, const candidate &Right) const;
+  const candidate &better(const candidate &Left, const candidate &Right,
+                          time_point Now) const;
+  float score(const instance_entry &Entry, time_point Now) const;
   server_pick commit(const candidate &Chosen, const pick_context &Context);
   pick_refusal refusalFor(const service_entry &Service,
                           const pick_context &Context) const;
--- a/modules/bw_routing/picking/server_picker_test.cpp
+++ b/modules/bw_routing/picking/server_picker_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(queuesOnlyWhenOthersAreFull);
   CPPUNIT_TEST(prefersFreeSlots);
   CPPUNIT_TEST(reportedLackOfSlotsExpires);
+  CPPUNIT_TEST(aServerWithAnOldScoreIsPickedAgain);
   CPPUNIT_TEST(timedOutOwnerIsBypassed);
   CPPUNIT_TEST(slowOwnerOpensItsCircuit);
   CPPUNIT_TEST(notOwnerRedirects);
@@ -127,6 +128,24 @@
     CPPUNIT_ASSERT_EQUAL(2.0F, Picker->freeSlots(serverName(0), Now + 1h));
   }
 
+  // Guards against a sound server that gets no request of an entry host because
+  // of a score that its owner reported long ago.
+  void aServerWithAnOldScoreIsPickedAgain() {
+    Picker->finished({.Instance = serverName(0),
+                      .Started = Now,
+                      .FreeSlots = slot_count(2),
+                      .Score = 10},
+                     Now);
+    int Picked = 0;
+    for (int Count = 0; Count < 400; ++Count) {
+      Now += 100ms;
+      const server_pick Pick = picked();
+      Picked += Pick.Instance == serverName(0) ? 1 : 0;
+      answer(Pick, 2);
+    }
+    CPPUNIT_ASSERT(Picked > 0);
+  }
+
   // Guards against a one-way partition between entry host and owner that cuts
   // off an instance: requests must reach it through the successor.
   void timedOutOwnerIsBypassed() {
