Count the senders of a data centre only when they change

Cause: an aggregator built the list of hosts that share a limit anew with each report and each request, 250 times a second at 20 hosts. Change: the list is kept while the number of reporting hosts is the same, since it changes by one host at a time. Measured: tests of bw_gateway and bw_gateway_fleet pass; the cost was not measured. Conclusion: the shares are those of before.

--- a/modules/bw_gateway/servers/load_exchange.cpp
+++ b/modules/bw_gateway/servers/load_exchange.cpp
@@ -47,6 +47,7 @@
     Record.StatementForLocal.reset();
     Record.StatementForRemote.reset();
   }
+  LocalSenders.clear();
   countSenders();
   FailureForRemote = false;
 }
@@ -77,7 +78,9 @@
 }
 
 void load_exchange::countSenders() {
-  if (!Duty.IsAggregator)
+  // Called after each single change of the hosts, so an equal number means that
+  // there was none.
+  if (!Duty.IsAggregator || LocalSenders.size() == LocalHosts.size() + 1)
     return;
   LocalSenders = {Self};
   for (const auto &[Host, Load] : LocalHosts)
