--- a/modules/bw_gateway/servers/load_exchange.cpp
+++ b/modules/bw_gateway/servers/load_exchange.cpp
@@ -216,9 +216,11 @@
 void load_exchange::receive(const peer_reported &Report, time_point Now) {
   if (!Duty.IsAggregator)
     return;
-  if (Report.HasLoad)
-    replaceLoad(LocalHosts[Report.Host], &record::LocalInFlight, Report.Servers,
-                Now);
+  if (Report.HasLoad) {
+    reported_load &Load = LocalHosts[Report.Host];
+    replaceLoad(Load, &record::LocalInFlight, Report.Servers, Now);
+    Load.Number = Report.Number;
+  }
   countSenders();
   for (const server_report &Each : Report.Servers) {
     // All hosts of the data centre have already received a broadcast.
--- a/modules/bw_gateway/servers/load_exchange_test.cpp
+++ b/modules/bw_gateway/servers/load_exchange_test.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(reportsEachOutcomeOnce);
   CPPUNIT_TEST(anAggregatorSumsTheReports);
   CPPUNIT_TEST(ownRequestsAreNotCountedTwice);
+  CPPUNIT_TEST(sumsOfAnAggregatorExcludeTheReceiversRequests);
   CPPUNIT_TEST(outcomesAreForwardedByOneAggregator);
   CPPUNIT_TEST(broadcastFailuresAreNotForwardedLocally);
   CPPUNIT_TEST(onlyFailuresLeaveTheDataCentre);
@@ -98,6 +99,21 @@
     CPPUNIT_ASSERT_EQUAL(0U, Host.inFlightElsewhere(A));
   }
 
+  // Guards against a host that counts its own requests as those of others, as
+  // the sums do not name its report.
+  void sumsOfAnAggregatorExcludeTheReceiversRequests() {
+    load_exchange Aggregator(host_id("aggregator"), Near);
+    Aggregator.setDuty(First);
+    load_exchange Host(host_id("self"), Near);
+    Aggregator.receive(Host.takeReport({{A, 3}}), Now);
+    Aggregator.receive(report("other", A, 2), Now);
+    // The request at B began after the report in the sums.
+    Host.takeReport({{A, 3}, {B, 1}});
+    Host.receive(Aggregator.takeAggregate({}, true), Now);
+    CPPUNIT_ASSERT_EQUAL(2U, Host.inFlightElsewhere(A));
+    CPPUNIT_ASSERT_EQUAL(0U, Host.inFlightElsewhere(B));
+  }
+
   // Guards against outcomes counted twice because two aggregators forward them.
   void outcomesAreForwardedByOneAggregator() {
     for (const exchange_duty Duty : {First, Second}) {
