--- a/modules/bw_forward/service/forward_service.cpp
+++ b/modules/bw_forward/service/forward_service.cpp
@@ -468,26 +468,36 @@
   void on(limits_changed &Command) { CallerOptions.Limits = Command.Limits; }
 
   void beginStop() {
-    StopTimer.expires_after(Options.CloseIdleAfter);
-    StopTimer.async_wait([this](asio::error_code Cancelled) {
-      if (Cancelled)
-        return;
+    atStopStep(Options.CloseIdleAfter, [this] {
       IsClosingIdle = true;
-      const std::vector<std::shared_ptr<caller_connection>> Each(
-          Callers.begin(), Callers.end());
-      for (const auto &Connection : Each)
-        Connection->closeWhenIdle();
-      StopTimer.expires_after(Options.AcceptUntil - Options.CloseIdleAfter);
-      StopTimer.async_wait([this](asio::error_code AlsoCancelled) {
-        if (AlsoCancelled)
-          return;
+      closeIdleCallers();
+      atStopStep(Options.AcceptUntil - Options.CloseIdleAfter, [this] {
         asio::error_code Ignored;
         Acceptor.close(Ignored);
         IsAccepting = false;
+        // The last callers that connected may still send a request; later ones
+        // could not be finished.
+        atStopStep(Options.CloseUnusedAfter, [this] { closeIdleCallers(); });
       });
     });
   }
 
+  template <typename Action> void atStopStep(duration Delay, Action Step) {
+    StopTimer.expires_after(Delay);
+    StopTimer.async_wait([Step](asio::error_code Cancelled) {
+      if (!Cancelled)
+        Step();
+    });
+  }
+
+  void closeIdleCallers() {
+    // Copied because a closed connection leaves the set.
+    const std::vector<std::shared_ptr<caller_connection>> Each(Callers.begin(),
+                                                               Callers.end());
+    for (const auto &Connection : Each)
+      Connection->closeWhenIdle();
+  }
+
   runtime_clock &Clock;
   forward_service_options Options;
   asio::io_context Context{1};
--- a/modules/bw_forward/service/forward_service.h
+++ b/modules/bw_forward/service/forward_service.h
@@ -27,6 +27,9 @@
   /// Delay between the start of a planned stop and the end of accepting new
   /// connections.
   duration AcceptUntil = std::chrono::milliseconds(3000);
+  /// Delay between the end of accepting and the closing of connections that
+  /// have sent no request since.
+  duration CloseUnusedAfter = std::chrono::milliseconds(500);
 };
 
 /// Counters of the forward service. Thread-safe.
--- a/modules/bw_forward/service/forward_service_test.cpp
+++ b/modules/bw_forward/service/forward_service_test.cpp
@@ -24,6 +24,9 @@
 namespace {
 
 constexpr duration WaitLimit = 5s;
+// Far more than the buffers of the service and of the sockets hold.
+constexpr std::size_t EndlessBytes = mebibytes(64).value();
+constexpr std::size_t MaxHeldBytes = mebibytes(16).value();
 
 // Replaces the decide service and keeps its events for the test.
 class scripted_decide : public gateway_event_sink {
@@ -152,7 +155,11 @@
   CPPUNIT_TEST(streamsLongResponsesWithBackPressure);
   CPPUNIT_TEST(streamsLongUploads);
   CPPUNIT_TEST(plannedStopFinishesRequestsAndClosesConnections);
+  CPPUNIT_TEST(plannedStopClosesConnectionsWithoutRequest);
   CPPUNIT_TEST(ignoresRequestsAfterClosingResponse);
+  CPPUNIT_TEST(responseBrokenInItsHeadIsNoSuccess);
+  CPPUNIT_TEST(endlessHeadIsBounded);
+  CPPUNIT_TEST(endlessBodyIsBounded);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -161,10 +168,11 @@
     Kernel = std::make_unique<kernel>();
     Decide = &Kernel->add<scripted_decide>(*Clock);
     Forward = &Kernel->add<forward_service>(
-        *Clock,
-        forward_service_options{.BufferLimit = kibibytes(64),
-                                .CloseIdleAfter = std::chrono::milliseconds(50),
-                                .AcceptUntil = std::chrono::milliseconds(100)});
+        *Clock, forward_service_options{
+                    .BufferLimit = kibibytes(64),
+                    .CloseIdleAfter = std::chrono::milliseconds(50),
+                    .AcceptUntil = std::chrono::milliseconds(100),
+                    .CloseUnusedAfter = std::chrono::milliseconds(50)});
     Kernel->start();
     Caller = std::make_unique<test_socket>();
     Caller->connect(Forward->port());
@@ -228,8 +236,6 @@
     CPPUNIT_ASSERT(Got.find("first.") < Got.find("second"));
   }
 
-  // Guards against a late response to an earlier request that is relayed as the
-  // response to the next one.
   // Guards against a server that writes an earlier refusal once more: without a
   // request id, the caller of the next request on the connection would be told
   // that it was not executed.
@@ -245,6 +251,8 @@
     CPPUNIT_ASSERT(Connection->isClosedByPeer());
   }
 
+  // Guards against a late response to an earlier request that is relayed as the
+  // response to the next one.
   void skipsLateResponsesToOtherRequests() {
     Caller->write(request("r2"));
     const auto Arrived = Decide->next<request_arrived>();
@@ -471,6 +479,82 @@
     CPPUNIT_ASSERT(Forward->isDrained());
   }
 
+  // Guards against connections that are accepted late in a planned stop, send
+  // no request and stay open, so that a request on them is cut at its end.
+  void plannedStopClosesConnectionsWithoutRequest() {
+    Forward->beginStop();
+    CPPUNIT_ASSERT(Caller->isClosedByPeer());
+    test_socket Late;
+    Late.connect(Forward->port());
+    CPPUNIT_ASSERT(Late.isClosedByPeer());
+    CPPUNIT_ASSERT(!Decide->events().tryPop());
+  }
+
+  // Guards against a success with an empty or short body when a server closes
+  // the connection in the middle of its response's head.
+  void responseBrokenInItsHeadIsNoSuccess() {
+    const std::string Whole = answer("r1", "result");
+    const std::size_t HeadEnd = Whole.find("\r\n\r\n") + 4;
+    for (std::size_t Size = 0; Size < HeadEnd; ++Size) {
+      Caller = std::make_unique<test_socket>();
+      Caller->connect(Forward->port());
+      Caller->write(request("r1"));
+      const auto Arrived = Decide->next<request_arrived>();
+      const auto Connection = start(Arrived);
+      Connection->readUntil("\r\n\r\n");
+      Connection->write(Whole.substr(0, Size));
+      Connection->Socket.close();
+      const auto Ended = Decide->next<attempt_ended>();
+      CPPUNIT_ASSERT_MESSAGE(Whole.substr(0, Size),
+                             Ended.Outcome == attempt_outcome::Broken);
+      command(refuse_request{.Request = Arrived.Request,
+                             .Reason = refusal_reason::Unknown});
+      CPPUNIT_ASSERT(
+          Caller->readUntil("\r\n\r\n").starts_with("HTTP/1.1 502 "));
+    }
+  }
+
+  // Guards against memory that grows with the head of a response, and against a
+  // success or a reused connection after it.
+  void endlessHeadIsBounded() {
+    Caller->write(request("r1"));
+    const auto Arrived = Decide->next<request_arrived>();
+    const auto Connection = start(Arrived);
+    Connection->readUntil("\r\n\r\n");
+    Connection->write("HTTP/1.1 200 OK\r\nBw-Request-Id: r1\r\n");
+    asio::error_code Code;
+    std::size_t Written = 0;
+    const std::string Field = "X-Filler: " + std::string(1000, 'x') + "\r\n";
+    while (!Code && Written < EndlessBytes)
+      Written += asio::write(Connection->Socket, asio::buffer(Field), Code);
+    CPPUNIT_ASSERT(Code);
+    CPPUNIT_ASSERT(Decide->next<attempt_ended>().Outcome ==
+                   attempt_outcome::Broken);
+    command(refuse_request{.Request = Arrived.Request,
+                           .Reason = refusal_reason::Unknown});
+    CPPUNIT_ASSERT(Caller->readUntil("\r\n\r\n").starts_with("HTTP/1.1 502 "));
+  }
+
+  // Guards against memory that grows with a body without end, held or relayed,
+  // and against an attempt that continues after its caller has left.
+  void endlessBodyIsBounded() {
+    Caller->write(request("r1"));
+    const auto Arrived = Decide->next<request_arrived>();
+    const auto Connection = start(Arrived);
+    Connection->readUntil("\r\n\r\n");
+    Connection->write("HTTP/1.1 200 OK\r\nBw-Request-Id: r1\r\n\r\n");
+    // A held body is read up to the limit only; the rest fills the sockets.
+    CPPUNIT_ASSERT(writesUntilBlocked(*Connection) < MaxHeldBytes);
+    CPPUNIT_ASSERT(!Decide->next<attempt_ended>().IsComplete);
+    // The caller reads nothing of what is relayed.
+    command(
+        relay_answer{.Request = Arrived.Request, .Attempt = attempt_number(1)});
+    CPPUNIT_ASSERT(writesUntilBlocked(*Connection) < MaxHeldBytes);
+    Caller->Socket.close();
+    Decide->next<caller_left>();
+    CPPUNIT_ASSERT(Connection->isClosedByPeer());
+  }
+
   // Guards against executing a request that follows a response which closes the
   // connection: its caller sends it again on another connection.
   void ignoresRequestsAfterClosingResponse() {
@@ -487,6 +571,26 @@
   }
 
 private:
+  // Writes until the peer has read nothing for a while. Returns the bytes
+  // written.
+  static std::size_t writesUntilBlocked(test_socket &Connection) {
+    constexpr int BlockedAfterMilliseconds = 300;
+    const std::string Part(kibibytes(64).value(), 'x');
+    std::size_t Written = 0;
+    Connection.Socket.non_blocking(true);
+    pollfd Poll{.fd = Connection.Socket.native_handle(),
+                .events = POLLOUT,
+                .revents = 0};
+    while (Written < EndlessBytes &&
+           ::poll(&Poll, 1, BlockedAfterMilliseconds) == 1) {
+      asio::error_code Code;
+      Written += Connection.Socket.write_some(asio::buffer(Part), Code);
+      if (Code && Code != asio::error::would_block)
+        break;
+    }
+    return Written;
+  }
+
   void command(gateway_command Command) {
     Forward->commands().push(std::move(Command));
   }
--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -19,6 +19,9 @@
 constexpr std::uint32_t MinLatencySamples = 8;
 // Smoothing factor of a route's mean latency.
 constexpr double LatencySmoothing = 0.1;
+// Factor by which the longest recent latency of a route decays with each
+// answer. It halves in 140 answers, so it is near the 99th percentile.
+constexpr double LongLatencyDecay = 0.995;
 // A repeatable request is hedged after this share of its target latency, early
 // enough for the second answer to meet the target.
 constexpr double HedgeShareOfTarget = 0.5;
@@ -69,7 +72,11 @@
 }
 
 time_point gateway_engine::nextDue() const {
-  return Timers.empty() ? time_point::max() : Timers.begin()->At;
+  const time_point Next =
+      Timers.empty() ? time_point::max() : Timers.begin()->At;
+  return FinishBy && !HasEndedRequests && !Requests.empty()
+             ? std::min(Next, *FinishBy)
+             : Next;
 }
 
 void gateway_engine::tick(time_point Now, commands &Out) {
@@ -78,6 +85,8 @@
     Timers.erase(Timers.begin());
     handleTimer(Timer, Now, Out);
   }
+  if (FinishBy && !HasEndedRequests && Now >= *FinishBy)
+    endOpenRequests(Now, Out);
   for (const pool_change &Change : Pool.takeChanges())
     Options.Observer.OnServer(Change);
 }
@@ -102,6 +111,8 @@
   Request.Service = Splits.try_emplace(Request.Route->Id, Random)
                         .first->second.next(Request.Route->Destinations);
   budgetOf(Request.Service).requestStarted();
+  if (!finishesBeforeStop(Request, Now))
+    return refuse(Found, refusal_reason::Stopping, Now, Out);
   if (!startAttempt(Event.Request, Request, request_step::Sent, Now, Out))
     return refuse(Found, refusal_reason::NoServer, Now, Out);
   schedule(Request, {.At = Request.Deadline + DeadlineSlack,
@@ -124,7 +135,7 @@
 bool gateway_engine::startAttempt(request_number Number, request_state &Request,
                                   request_step Step, time_point Now,
                                   commands &Out) {
-  if (Request.Deadline - Now < MinTimeLeft)
+  if (Request.Deadline - Now < MinTimeLeft || !finishesBeforeStop(Request, Now))
     return false;
   const bool IsFinalAttempt =
       Request.Route->Execution == execution_rule::AtMostOnce ||
@@ -453,9 +464,41 @@
       Known.Samples == 0 ? Seconds
                          : Known.MeanLatency +
                                LatencySmoothing * (Seconds - Known.MeanLatency);
+  Known.LongLatency = std::max(Seconds, LongLatencyDecay * Known.LongLatency);
   ++Known.Samples;
 }
 
+// A request that the stop would cut is refused while it has certainly not run;
+// its caller then goes to another host. One that ends at its own deadline
+// before the stop is not cut.
+bool gateway_engine::finishesBeforeStop(const request_state &Request,
+                                        time_point Now) const {
+  if (!FinishBy)
+    return true;
+  const gateway_route &Route = *Request.Route;
+  duration Needed = Route.TargetLatency.value_or(std::chrono::seconds(1));
+  const auto Known = Statistics.find(Route.Id);
+  if (Known != Statistics.end() && Known->second.Samples >= MinLatencySamples)
+    Needed = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(Known->second.LongLatency));
+  return std::min(Now + Needed, Request.Deadline + DeadlineSlack) <= *FinishBy;
+}
+
+void gateway_engine::endOpenRequests(time_point Now, commands &Out) {
+  HasEndedRequests = true;
+  std::vector<request_number> Numbers;
+  for (const auto &[Number, Request] : Requests)
+    if (!Request.IsRelaying)
+      Numbers.push_back(Number);
+  for (const request_number Number : Numbers) {
+    const auto Found = Requests.find(Number);
+    // An attempt that has not ended may have been executed.
+    Found->second.MayHaveRun =
+        Found->second.MayHaveRun || !Found->second.Open.empty();
+    endWithoutRetry(Found, Now, Out);
+  }
+}
+
 duration gateway_engine::slowAfter(const gateway_route &Route) const {
   const auto Known = Statistics.find(Route.Id);
   if (Known != Statistics.end() && Known->second.Samples >= MinLatencySamples)
@@ -552,6 +595,12 @@
   Budgets.clear();
 }
 
+void gateway_engine::on(const stop_began &Event, time_point Now,
+                        commands &Out) {
+  static_cast<void>(Out);
+  FinishBy = Now + Event.FinishWithin;
+}
+
 void gateway_engine::report(const request_state &Request,
                             request_decision Decision, time_point Now) const {
   Decision.Label = Request.Label;
--- a/modules/bw_gateway/engine/gateway_engine.h
+++ b/modules/bw_gateway/engine/gateway_engine.h
@@ -117,6 +117,9 @@
   struct route_statistics {
     /// In seconds; 0 before the first answer.
     double MeanLatency = 0;
+    /// Longest recent latency in seconds: a maximum that decays with each
+    /// answer.
+    double LongLatency = 0;
     std::uint32_t Samples = 0;
   };
   using request_map = std::unordered_map<request_number, request_state>;
@@ -132,6 +135,7 @@
   void on(const load_aggregate &Event, time_point Now, commands &Out);
   void on(const exchange_duty &Event, time_point Now, commands &Out);
   void on(const hosts_counted &Event, time_point Now, commands &Out);
+  void on(const stop_began &Event, time_point Now, commands &Out);
 
   bool startAttempt(request_number Number, request_state &Request,
                     request_step Step, time_point Now, commands &Out);
@@ -161,6 +165,10 @@
   double declinedWeight(const service_id &Service) const;
   void recordLatency(const request_state &Request, const attempt &Ended,
                      time_point Now);
+  /// True unless a planned stop would cut an attempt that starts now.
+  bool finishesBeforeStop(const request_state &Request, time_point Now) const;
+  /// Answers the requests that are still open at the end of a planned stop.
+  void endOpenRequests(time_point Now, commands &Out);
   duration slowAfter(const gateway_route &Route) const;
   duration hedgeAfter(const gateway_route &Route) const;
   duration retryAfter(const service_id &Service, time_point Now);
@@ -183,6 +191,10 @@
   std::unordered_map<service_id, retry_budget> Budgets;
   /// Moving average of the share of attempts that servers declined.
   std::unordered_map<service_id, double> DeclinedShares;
+  /// End of a planned stop, once one has begun.
+  std::optional<time_point> FinishBy;
+  /// The open requests have been answered because the stop ends.
+  bool HasEndedRequests = false;
 };
 
 } // namespace bw
--- a/modules/bw_gateway/engine/gateway_engine_test.cpp
+++ b/modules/bw_gateway/engine/gateway_engine_test.cpp
@@ -97,6 +97,9 @@
   CPPUNIT_TEST(configurationNeverGoesBack);
   CPPUNIT_TEST(tellsTheServerNoMoreTimeThanIsLeft);
   CPPUNIT_TEST(keepsNothingOfFinishedRequests);
+  CPPUNIT_TEST(takesOnlyWhatItCanFinishWhileStopping);
+  CPPUNIT_TEST(startsNoAttemptThatAStopWouldCut);
+  CPPUNIT_TEST(answersOpenRequestsBeforeAStopEnds);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -279,6 +282,61 @@
     CPPUNIT_ASSERT(Engine->nextDue() == time_point::max());
   }
 
+  // Guards against requests that arrive late in a planned stop, are passed on,
+  // and are cut when the process ends.
+  void takesOnlyWhatItCanFinishWhileStopping() {
+    configure();
+    // The slowest of the last answers took 2 s.
+    const auto Slow = only<start_attempt>(arrive("/submit/1"));
+    Now += 2s;
+    end(Slow, attempt_outcome::Answered, 200);
+    for (int Count = 0; Count < 10; ++Count)
+      end(only<start_attempt>(arrive("/submit/1")), attempt_outcome::Answered,
+          200);
+    CPPUNIT_ASSERT(handle(stop_began{.FinishWithin = 5s}).empty());
+    const auto Taken = only<start_attempt>(arrive("/submit/1"));
+    end(Taken, attempt_outcome::Answered, 200);
+    Now += 3500ms;
+    const auto Refused = only<refuse_request>(arrive("/submit/1"));
+    CPPUNIT_ASSERT(Refused.Reason == refusal_reason::Stopping);
+    CPPUNIT_ASSERT(Refused.RetryAfter.has_value());
+    // Its caller gives up before the stop ends.
+    only<start_attempt>(arrive("/submit/1", 1s));
+  }
+
+  // Guards against a retry that a planned stop would cut: the caller would be
+  // left without an answer although nothing has run.
+  void startsNoAttemptThatAStopWouldCut() {
+    configure();
+    handle(stop_began{.FinishWithin = 2s});
+    const auto Declined = only<start_attempt>(arrive("/submit/1"));
+    const auto Broken = only<start_attempt>(arrive("/submit/1"));
+    Now += 1500ms;
+    CPPUNIT_ASSERT(
+        only<refuse_request>(end(Declined, attempt_outcome::NotExecuted))
+            .Reason == refusal_reason::NotExecuted);
+    CPPUNIT_ASSERT(
+        only<refuse_request>(end(Broken, attempt_outcome::Broken)).Reason ==
+        refusal_reason::Unknown);
+  }
+
+  // Guards against connections that close without an answer when a planned stop
+  // ends, and against calling a request not executed that a server works on.
+  void answersOpenRequestsBeforeAStopEnds() {
+    configure();
+    const auto Open = only<start_attempt>(arrive("/submit/1"));
+    handle(stop_began{.FinishWithin = 2s});
+    CPPUNIT_ASSERT(advance(1900ms).empty());
+    const auto Out = advance(200ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Out.size());
+    CPPUNIT_ASSERT(std::get<cancel_attempt>(Out[0]).Attempt == Open.Attempt);
+    CPPUNIT_ASSERT(std::get<refuse_request>(Out[1]).Reason ==
+                   refusal_reason::Unknown);
+    CPPUNIT_ASSERT(Engine->nextDue() == time_point::max());
+    CPPUNIT_ASSERT(only<refuse_request>(arrive("/read/1")).Reason ==
+                   refusal_reason::Stopping);
+  }
+
 private:
   void configure() {
     handle(configuration_read{configuration(1)});
--- a/modules/bw_gateway/messages/gateway_events.h
+++ b/modules/bw_gateway/messages/gateway_events.h
@@ -183,10 +183,17 @@
   std::uint32_t LocalHosts = 1;
 };
 
+/// A planned stop of this host has begun.
+struct stop_began {
+  /// Time in which all requests must have their answers.
+  duration FinishWithin{};
+};
+
 using gateway_event =
     std::variant<request_arrived, attempt_ended, relay_ended, caller_left,
                  servers_listed, configuration_read, peer_reported,
-                 load_summary, load_aggregate, exchange_duty, hosts_counted>;
+                 load_summary, load_aggregate, exchange_duty, hosts_counted,
+                 stop_began>;
 
 } // namespace bw
 
