--- a/modules/bw_gateway/hosts/host_directory.cpp
+++ b/modules/bw_gateway/hosts/host_directory.cpp
@@ -8,10 +8,9 @@
 
 namespace {
 
-// A list of unknown age maps to the epoch, the oldest time.
-time_point readTime(const host_state &State, time_point Now) {
-  return State.ListAge > Now.time_since_epoch() ? time_point()
-                                                : Now - State.ListAge;
+// An unknown age maps to the epoch, the oldest time.
+time_point timeOfAge(duration Age, time_point Now) {
+  return Age > Now.time_since_epoch() ? time_point() : Now - Age;
 }
 
 // Orders by processor share, largest first, and then by name.
@@ -42,24 +41,33 @@
       Hosts, [&](const auto &Known) { return !Names.contains(Known.first); });
 }
 
-void host_directory::recordReport(const host_id &Host, const host_state &State,
+bool host_directory::recordReport(const host_id &Host, const host_state &State,
                                   time_point Now) {
   const auto Found = Hosts.find(Host);
   if (Found == Hosts.end())
-    return;
+    return false;
   Found->second.State = State;
-  Found->second.ListReadAt = readTime(State, Now);
+  Found->second.ListReadAt = timeOfAge(State.ListAge, Now);
   Found->second.HeardAt = Now;
-  // The confirmation stays valid when the sender changes to another list.
-  if (State.ListDigest == Own.ListDigest)
-    PeerConfirmedAt = std::max(PeerConfirmedAt, Found->second.ListReadAt);
+  if (State.ListDigest != Own.ListDigest)
+    return false;
+  // The confirmation stays valid when the sender changes to another list. It is
+  // passed on once only: the reading of a list seems younger by the delay of
+  // each message, so two hosts would keep an old list fresh for ever.
+  const time_point Before = listReadAt();
+  PeerReadAt = std::max(PeerReadAt, Found->second.ListReadAt);
+  PeerConfirmedAt =
+      std::max(PeerConfirmedAt, timeOfAge(State.ConfirmedAge, Now));
+  return PeerReadAt > Before + Options.ReadInterval / 2;
 }
 
 void host_directory::setOwnState(const host_state &State, time_point Now) {
-  if (State.ListDigest != Own.ListDigest)
+  if (State.ListDigest != Own.ListDigest) {
+    PeerReadAt = time_point();
     PeerConfirmedAt = time_point();
+  }
   Own = State;
-  OwnListReadAt = readTime(State, Now);
+  OwnListReadAt = timeOfAge(State.ListAge, Now);
 }
 
 bool host_directory::isLive(const entry &Entry, time_point Now) const {
@@ -230,9 +238,24 @@
   return {.IsAggregator = Rank < Options.Aggregators, .IsFirst = Rank == 0};
 }
 
+bool host_directory::isLeadingDataCentre(time_point Now) const {
+  const gateway_host *First = &Options.Self;
+  for (const auto &[Name, Entry] : Hosts)
+    if (isLive(Entry, Now) && ranksBefore(Entry.Host, *First))
+      First = &Entry.Host;
+  return First->DataCentre == Options.Self.DataCentre;
+}
+
+// Readers in each data centre would multiply the calls to the store by the
+// number of data centres. A data centre that does not hear of a reading in time
+// reads for itself.
 bool host_directory::followsStore(time_point Now) const {
-  return duty(Now).IsAggregator ||
-         (StoreReadAt && Now - *StoreReadAt < Options.FollowAfterRead);
+  return hasReadList(Now) ||
+         (duty(Now).IsAggregator && isLeadingDataCentre(Now));
+}
+
+bool host_directory::followsHosts(time_point Now) const {
+  return hasReadList(Now) || duty(Now).IsAggregator;
 }
 
 std::optional<gateway_host>
@@ -247,7 +270,11 @@
 }
 
 time_point host_directory::listConfirmedAt() const {
-  return std::max(OwnListReadAt, PeerConfirmedAt);
+  return std::max(listReadAt(), PeerConfirmedAt);
+}
+
+time_point host_directory::listReadAt() const {
+  return std::max(OwnListReadAt, PeerReadAt);
 }
 
 time_point host_directory::nextListRead(time_point Now,
@@ -255,10 +282,14 @@
   if (OwnListReadAt == time_point())
     return Now;
   const exchange_duty Duty = duty(Now);
-  if (Duty.IsFirst)
+  const bool Leads = Duty.IsAggregator && isLeadingDataCentre(Now);
+  if (Leads && Duty.IsFirst)
     return OwnListReadAt + Options.ReadInterval;
-  if (Duty.IsAggregator)
+  if (Leads)
     return listConfirmedAt() + Options.BackupReadAge;
+  // The other hosts of the data centre rely on what this host passes on.
+  if (Duty.IsFirst)
+    return listReadAt() + Options.RemoteBackupReadAge;
   return listConfirmedAt() + Options.FallbackReadAge +
          std::chrono::duration_cast<duration>(Options.ReadSpread *
                                               Random.unit());
--- a/modules/bw_gateway/hosts/host_directory.h
+++ b/modules/bw_gateway/hosts/host_directory.h
@@ -28,17 +28,22 @@
   /// Maximum number of receivers of one message; a random subset is chosen
   /// beyond it.
   std::size_t MaxTargets = 128;
-  /// Number of hosts of a data centre that aggregate its load and follow the
-  /// store for it. With two, the failure of one leaves no gap.
+  /// Number of hosts of a data centre that aggregate its load. Those of one
+  /// data centre follow the store for all hosts. With two, the failure of one
+  /// leaves no gap.
   std::size_t Aggregators = 2;
   /// Number of random hosts that are also sent messages in a data centre whose
   /// aggregators are unknown.
   std::size_t FallbackTargets = 4;
-  /// Interval at which the first aggregator reads the server list.
+  /// Interval at which the first host that follows the store reads the server
+  /// list.
   duration ReadInterval = std::chrono::milliseconds(900);
-  /// The other aggregators read the server list when theirs was last confirmed
-  /// longer ago than this.
+  /// The other aggregators of its data centre read the server list when theirs
+  /// was last confirmed longer ago than this.
   duration BackupReadAge = std::chrono::milliseconds(1050);
+  /// The same for the first aggregators of other data centres, which then do
+  /// not hear of those that follow the store.
+  duration RemoteBackupReadAge = std::chrono::milliseconds(1130);
   /// Hosts that are not aggregators read the server list when theirs was last
   /// confirmed longer ago than this.
   duration FallbackReadAge = std::chrono::milliseconds(1200);
@@ -58,6 +63,9 @@
   duration ListAge = duration::max();
   /// Digest of the host list that the sender knows, including itself.
   list_digest HostsDigest;
+  /// Time since a list equal to the sender's was read from the store by the
+  /// sender or by a host that reported it to the sender.
+  duration ConfirmedAge = duration::max();
 };
 
 /// Tracks the hosts of the system: which are live, which are aggregators, and
@@ -71,7 +79,9 @@
   /// Replaces the known hosts by those registered with the platform.
   void setListedHosts(const std::vector<gateway_host> &Hosts, time_point Now);
   /// Records the state from a report. Reports of unlisted hosts are ignored.
-  void recordReport(const host_id &Host, const host_state &State,
+  /// Returns true if the host has read the own server list from the store a
+  /// good while after the reading known before.
+  bool recordReport(const host_id &Host, const host_state &State,
                     time_point Now);
   /// Sets the state of this host.
   void setOwnState(const host_state &State, time_point Now);
@@ -95,10 +105,12 @@
   std::vector<gateway_host> randomHosts(std::size_t Local, std::size_t Remote,
                                         random_source &Random) const;
 
-  /// True when this host follows the store for its data centre: it is an
-  /// aggregator, or it recently had to read the server list itself because the
-  /// aggregators did not.
+  /// True when this host follows the servers and the configuration in the store
+  /// for all hosts: it is an aggregator of the data centre that does so, or it
+  /// recently had to read the server list itself because no other host did.
   bool followsStore(time_point Now) const;
+  /// True when this host reads the host list for its data centre.
+  bool followsHosts(time_point Now) const;
 
   /// Returns a live host to fetch a newer configuration than the own from, if
   /// there is any: a random one with the newest version, aggregators of the own
@@ -119,6 +131,8 @@
   /// Returns when any host last read the current server list of this host from
   /// the store.
   time_point listConfirmedAt() const;
+  /// The same for this host and the hosts that reported their reading to it.
+  time_point listReadAt() const;
 
   /// Returns when this host should next read the server list from the store.
   time_point nextListRead(time_point Now, random_source &Random) const;
@@ -154,6 +168,11 @@
   int fetchRank(const entry &Entry, time_point Now) const;
   /// Number of live hosts of the own data centre that rank before this one.
   std::size_t ownRank(time_point Now) const;
+  /// True when the live host that ranks first of all is in the own data centre.
+  bool isLeadingDataCentre(time_point Now) const;
+  bool hasReadList(time_point Now) const {
+    return StoreReadAt && Now - *StoreReadAt < Options.FollowAfterRead;
+  }
   /// Returns a random subset of at most `Count` hosts.
   std::vector<gateway_host> sampleHosts(std::vector<gateway_host> Hosts,
                                         std::size_t Count,
@@ -168,7 +187,9 @@
   host_state Own;
   time_point OwnListReadAt{};
   /// When another host last read the current server list of this host from the
-  /// store.
+  /// store, as it reported itself.
+  time_point PeerReadAt{};
+  /// The same as reported by others.
   time_point PeerConfirmedAt{};
   std::optional<time_point> StoreReadAt;
 };
--- a/modules/bw_gateway/hosts/host_directory_test.cpp
+++ b/modules/bw_gateway/hosts/host_directory_test.cpp
@@ -42,6 +42,8 @@
   CPPUNIT_TEST(firstHostsReadTheListForTheirDataCentre);
   CPPUNIT_TEST(otherHostsReadWhenTheAggregatorsFail);
   CPPUNIT_TEST(someHostsFollowTheStoreForAll);
+  CPPUNIT_TEST(oneDataCentreFollowsTheStoreForAll);
+  CPPUNIT_TEST(aReadingIsPassedOnOnce);
   CPPUNIT_TEST(anEarlierConfirmationIsKept);
   CPPUNIT_TEST(aReaderWithADifferentListDoesNotCount);
   CPPUNIT_TEST(findsHostsWithNewerState);
@@ -194,6 +196,42 @@
     CPPUNIT_ASSERT(Last.followsStore(Now));
   }
 
+  // Guards against calls to the store that grow with the number of data
+  // centres, and against host lists that are no longer maintained there.
+  void oneDataCentreFollowsTheStoreForAll() {
+    host_directory Other = directory("b1");
+    Other.setOwnState(state(1, 1, 7, 0ms), Now);
+    hearAll(Other, state(1, 1, 7, 0ms));
+    CPPUNIT_ASSERT(!Other.followsStore(Now) && Other.followsHosts(Now));
+    CPPUNIT_ASSERT(Other.nextListRead(Now, Random) == Now + 1130ms);
+    // Without news of the other data centre, this one follows the store.
+    Now += 3s;
+    Other.recordReport(host_id("b2"), state(1, 1, 7, 0ms), Now);
+    CPPUNIT_ASSERT(Other.followsStore(Now));
+  }
+
+  // Guards against a reading that seems younger each time that two hosts report
+  // it to each other, by the delay of the messages.
+  void aReadingIsPassedOnOnce() {
+    host_directory Hosts = directory("a4");
+    Hosts.setOwnState(state(1, 5, 7, 2s), Now);
+    host_state Heard = state(1, 5, 7, 10s);
+    Heard.ConfirmedAge = 100ms;
+    CPPUNIT_ASSERT(!Hosts.recordReport(host_id("a1"), Heard, Now));
+    CPPUNIT_ASSERT(Hosts.listConfirmedAt() == Now - 100ms);
+    CPPUNIT_ASSERT(Hosts.listReadAt() == Now - 2s);
+    Heard.ListAge = 500ms;
+    CPPUNIT_ASSERT(Hosts.recordReport(host_id("a1"), Heard, Now));
+    CPPUNIT_ASSERT(Hosts.listReadAt() == Now - 500ms);
+    // The same reading again.
+    CPPUNIT_ASSERT(!Hosts.recordReport(host_id("a1"), Heard, Now));
+    // A reading of another list confirms nothing.
+    Heard.ListAge = 0ms;
+    Heard.ListDigest = list_digest(8);
+    CPPUNIT_ASSERT(!Hosts.recordReport(host_id("a1"), Heard, Now));
+    CPPUNIT_ASSERT(Hosts.listReadAt() == Now - 500ms);
+  }
+
   // Guards against mistaking a new list for the first one after a store outage
   // because the hosts that confirmed the previous list already have the new
   // one. Servers that had left then received requests for 3 s longer.
--- a/modules/bw_gateway_daemon/follow/host_follower.cpp
+++ b/modules/bw_gateway_daemon/follow/host_follower.cpp
@@ -24,13 +24,12 @@
   Thread.stop();
 }
 
-// True if this host is listed and does not follow the store itself. An
-// aggregator then reports the listed hosts, including this one.
+// True if this host is listed and an aggregator reads the list for it.
 bool host_follower::isDelegated() {
   const std::vector<gateway_host> Known = State->hosts();
   return std::find(Known.begin(), Known.end(), State->self()) != Known.end() &&
          State->withHosts([&](host_directory &Hosts, random_source &) {
-           return !Hosts.followsStore(Clock.now());
+           return !Hosts.followsHosts(Clock.now());
          });
 }
 
--- a/modules/bw_gateway_daemon/follow/platform_state.cpp
+++ b/modules/bw_gateway_daemon/follow/platform_state.cpp
@@ -45,6 +45,7 @@
 // of the bound; the rest is left for the calls.
 constexpr double ReadIntervalShare = 0.45;
 constexpr double ReadBehindFirstShare = 0.53;
+constexpr double ReadInOtherDataCentreShare = 0.57;
 constexpr double ReadWhenOlderShare = 0.6;
 constexpr double ReadSpreadShare = 0.15;
 
@@ -67,6 +68,8 @@
           {.Self = Options.Self,
            .ReadInterval = scaled(Options.DrainBound, ReadIntervalShare),
            .BackupReadAge = scaled(Options.DrainBound, ReadBehindFirstShare),
+           .RemoteBackupReadAge =
+               scaled(Options.DrainBound, ReadInOtherDataCentreShare),
            .FallbackReadAge = scaled(Options.DrainBound, ReadWhenOlderShare),
            .ReadSpread = scaled(Options.DrainBound, ReadSpreadShare)}) {}
 
@@ -85,7 +88,10 @@
 
 void platform_state::offerServers(servers_listed Offered, duration Age) {
   const std::lock_guard Guard(Mutex);
+  const list_digest Before = Digest;
   applyServers(std::move(Offered), Clock.now() - Age);
+  if (Digest != Before)
+    OnServersConfirmed();
 }
 
 void platform_state::applyServers(servers_listed Offered, time_point ReadAt) {
@@ -129,7 +135,12 @@
 
 void platform_state::heard(const host_id &Host, const host_state &State) {
   const std::lock_guard Guard(Mutex);
-  Directory.recordReport(Host, State, Clock.now());
+  const time_point Now = Clock.now();
+  Directory.setOwnState(ownStateLocked(), Now);
+  // The first aggregator passes the confirmation on. Without it, the hosts of
+  // its data centre would read the list from the store.
+  if (Directory.recordReport(Host, State, Now) && Directory.duty(Now).IsFirst)
+    OnServersConfirmed();
 }
 
 host_state platform_state::ownStateLocked() const {
@@ -138,7 +149,9 @@
           .ListDigest = Digest,
           .ListAge =
               ServersReadAt ? Clock.now() - *ServersReadAt : duration::max(),
-          .HostsDigest = HostsDigest};
+          .HostsDigest = HostsDigest,
+          .ConfirmedAge =
+              Servers ? Clock.now() - Directory.listReadAt() : duration::max()};
 }
 
 host_state platform_state::ownState() const {
--- a/modules/bw_gateway_daemon/follow/platform_state.h
+++ b/modules/bw_gateway_daemon/follow/platform_state.h
@@ -54,6 +54,10 @@
   void setOnServersRead(std::function<void()> Hook) {
     OnServersRead = std::move(Hook);
   }
+  /// The same when another host's reading confirmed or replaced the list.
+  void setOnServersConfirmed(std::function<void()> Hook) {
+    OnServersConfirmed = std::move(Hook);
+  }
   void heard(const host_id &Host, const host_state &State);
 
   const gateway_host &self() const { return Options.Self; }
@@ -79,6 +83,7 @@
   gateway_event_ring *Decide = nullptr;
   std::function<void()> OnConfiguration = [] {};
   std::function<void()> OnServersRead = [] {};
+  std::function<void()> OnServersConfirmed = [] {};
   mutable std::mutex Mutex;
   random_source Random;
   host_directory Directory;
--- a/modules/bw_gateway_daemon/peers/exchange_messages.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_messages.cpp
@@ -25,6 +25,17 @@
       std::chrono::duration_cast<std::chrono::microseconds>(Time).count());
 }
 
+std::uint64_t milliseconds(duration Time) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
+}
+
+// Ages beyond the maximum are of no use.
+duration decodeAge(std::uint64_t Milliseconds) {
+  return std::chrono::milliseconds(std::min<std::uint64_t>(
+      Milliseconds, static_cast<std::uint64_t>(MaxListAge.count())));
+}
+
 std::optional<duration> optionalDuration(std::uint64_t Microseconds) {
   if (Microseconds == 0)
     return std::nullopt;
@@ -155,10 +166,8 @@
   Result.set_configuration_version(Report.State.Version.value());
   Result.set_list_revision(Report.State.ListRevision.value());
   Result.set_list_digest(Report.State.ListDigest.value());
-  Result.set_list_age(static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          Report.State.ListAge)
-          .count()));
+  Result.set_list_age(milliseconds(Report.State.ListAge));
+  Result.set_confirmed_age(milliseconds(Report.State.ConfirmedAge));
   Result.set_hosts_digest(Report.State.HostsDigest.value());
   if (Report.Aggregate) {
     encodeAggregate(*Report.Aggregate, Result);
@@ -196,9 +205,9 @@
       .State = {.Version = config_version(Report.configuration_version()),
                 .ListRevision = store_revision(Report.list_revision()),
                 .ListDigest = list_digest(Report.list_digest()),
-                .ListAge = std::chrono::milliseconds(std::min<std::uint64_t>(
-                    Report.list_age(), MaxListAge.count())),
-                .HostsDigest = list_digest(Report.hosts_digest())}};
+                .ListAge = decodeAge(Report.list_age()),
+                .HostsDigest = list_digest(Report.hosts_digest()),
+                .ConfirmedAge = decodeAge(Report.confirmed_age())}};
   if (Report.is_aggregate()) {
     Result.Observations.HasLoad = false;
     Result.Aggregate = decodeAggregate(Report);
--- a/modules/bw_gateway_daemon/peers/exchange_messages_test.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_messages_test.cpp
@@ -33,13 +33,15 @@
                   .ListRevision = store_revision(9),
                   .ListDigest = list_digest(77),
                   .ListAge = 1500ms,
-                  .HostsDigest = list_digest(88)}};
+                  .HostsDigest = list_digest(88),
+                  .ConfirmedAge = 40ms}};
     const host_report Got = decodeReport(encodeReport(Sent));
     CPPUNIT_ASSERT(Got.Observations.Host == host_id("h1"));
     CPPUNIT_ASSERT(Got.Observations.Number == report_number(12));
     CPPUNIT_ASSERT(Got.Observations.HasLoad && Got.Observations.IsBroadcast);
     CPPUNIT_ASSERT(!Got.Summary && !Got.Aggregate);
     CPPUNIT_ASSERT(Got.State.HostsDigest == list_digest(88));
+    CPPUNIT_ASSERT(Got.State.ConfirmedAge == 40ms);
     const server_report &Server = Got.Observations.Servers.at(0);
     CPPUNIT_ASSERT(Server.Good == 3 && Server.Bad == 0.5 &&
                    Server.InFlight == 7);
--- a/modules/bw_gateway_daemon/peers/peer_report_service.cpp
+++ b/modules/bw_gateway_daemon/peers/peer_report_service.cpp
@@ -57,7 +57,10 @@
       [this] { queueNotice(own_report::notice::Everywhere); });
   // Without this notice idle hosts would learn too late that their list is
   // current, and would read it from the store.
-  State->setOnServersRead([this] { queueNotice(own_report::notice::Near); });
+  State->setOnServersRead(
+      [this] { queueNotice(own_report::notice::Aggregators); });
+  State->setOnServersConfirmed(
+      [this] { queueNotice(own_report::notice::Near); });
   Fetch = &Registry.find<exchange_fetch_service>(
       exchange_fetch_service::ServiceName);
 }
@@ -195,11 +198,16 @@
     Targets.insert(Targets.end(), More.begin(), More.end());
   };
   State->withHosts([&](host_directory &Hosts, random_source &Generator) {
+    const time_point Now = Clock.now();
     if (Duty.IsAggregator)
       Add(Hosts.localHosts(Generator));
     if (Reach == own_report::notice::Near)
       return 0;
-    const time_point Now = Clock.now();
+    if (Reach == own_report::notice::Aggregators) {
+      if (Duty.IsAggregator)
+        Add(Hosts.remoteAggregators(Now, Generator));
+      return 0;
+    }
     Add(Hosts.randomHosts(NoticeTargetsNear, NoticeTargetsFar, Generator));
     Add(Duty.IsAggregator ? Hosts.remoteAggregators(Now, Generator)
                           : Hosts.localAggregators(Now, Generator));
@@ -269,7 +277,7 @@
   State->withHosts([&](host_directory &Hosts, random_source &Generator) {
     if (const auto Holder = Hosts.hostWithNewerServers(Now))
       Fetch->requestFetch({.Wanted = exchange_item::Servers, .From = *Holder});
-    if (!Hosts.followsStore(Now))
+    if (!Hosts.followsHosts(Now))
       if (const auto Holder = Hosts.aggregatorWithOtherHosts(Now))
         Fetch->requestFetch({.Wanted = exchange_item::Hosts, .From = *Holder});
     const auto Holder = Hosts.hostWithNewerConfiguration(Now, Generator);
--- a/modules/bw_gateway_daemon/peers/peer_report_service.h
+++ b/modules/bw_gateway_daemon/peers/peer_report_service.h
@@ -28,6 +28,8 @@
     None,
     /// The hosts of the local data centre, if this host is an aggregator.
     Near,
+    /// Also the aggregators of other data centres.
+    Aggregators,
     /// Also aggregators and random hosts, which pass it on.
     Everywhere
   };
