--- a/modules/bw_forward/service/forward_service_test.cpp
+++ b/modules/bw_forward/service/forward_service_test.cpp
@@ -158,6 +158,8 @@
   CPPUNIT_TEST(plannedStopClosesConnectionsWithoutRequest);
   CPPUNIT_TEST(ignoresRequestsAfterClosingResponse);
   CPPUNIT_TEST(responseBrokenInItsHeadIsNoSuccess);
+  CPPUNIT_TEST(responseEndedByResetIsIncomplete);
+  CPPUNIT_TEST(secondCopyOfResponseEndsIdleConnection);
   CPPUNIT_TEST(endlessHeadIsBounded);
   CPPUNIT_TEST(endlessBodyIsBounded);
   CPPUNIT_TEST_SUITE_END();
@@ -514,6 +516,45 @@
     }
   }
 
+  // Guards against a success for a response without a length whose connection
+  // was reset: only an orderly close ends it.
+  void responseEndedByResetIsIncomplete() {
+    for (const bool IsReset : {false, true}) {
+      Caller = std::make_unique<test_socket>();
+      Caller->connect(Forward->port());
+      Caller->write(request("r1"));
+      const auto Arrived = Decide->next<request_arrived>();
+      const auto Connection = start(Arrived);
+      Connection->readUntil("\r\n\r\n");
+      Connection->write("HTTP/1.1 200 OK\r\nBw-Request-Id: r1\r\n\r\npart");
+      if (IsReset)
+        Connection->Socket.set_option(asio::socket_base::linger(true, 0));
+      Connection->Socket.close();
+      CPPUNIT_ASSERT(
+          Decide->next<attempt_ended>().Outcome ==
+          (IsReset ? attempt_outcome::Broken : attempt_outcome::Answered));
+      command(refuse_request{.Request = Arrived.Request,
+                             .Reason = refusal_reason::Unknown});
+      Caller->readUntil("\r\n\r\n");
+    }
+  }
+
+  // Guards against a late second copy of a response on a kept connection that
+  // the next caller takes for its own.
+  void secondCopyOfResponseEndsIdleConnection() {
+    auto Connection = serve("r1", nullptr);
+    Connection->write(answer("r1", "copied"));
+    CPPUNIT_ASSERT(Connection->isClosedByPeer());
+    Caller->write(request("r2"));
+    const auto Arrived = Decide->next<request_arrived>();
+    const auto Next = start(Arrived);
+    Next->readUntil("\r\n\r\n");
+    Next->write(answer("r2", "result"));
+    relay(Arrived);
+    CPPUNIT_ASSERT(Caller->readUntil("result").find("copied") ==
+                   std::string::npos);
+  }
+
   // Guards against memory that grows with the head of a response, and against a
   // success or a reused connection after it.
   void endlessHeadIsBounded() {
