--- a/modules/bw_gateway/messages/gateway_events.h
+++ b/modules/bw_gateway/messages/gateway_events.h
@@ -134,6 +134,11 @@
   std::vector<server_report> Servers;
 };
 
+/// Number of a message about the load of many servers. The parts of a message
+/// that is too long for a datagram have the same number; 0 has no further
+/// parts.
+using message_round = strong_number<struct message_round_tag, std::uint32_t>;
+
 /// In-flight requests and failures of one data centre by server. Its first
 /// aggregator sends them to the aggregators of other data centres.
 struct load_summary {
@@ -141,6 +146,7 @@
   /// False when the summary carries only failures.
   bool HasLoad = true;
   std::vector<server_report> Servers;
+  message_round Round = {};
 };
 
 /// In-flight requests of all hosts at one server, and the new outcomes there.
@@ -160,8 +166,10 @@
   /// outcomes are.
   bool HasLoad = true;
   std::vector<aggregated_load> Servers;
-  /// Number of the last report of each host that is included in the sums.
+  /// Number of the last report of each host that is included in the sums. In
+  /// the first part only.
   std::vector<std::pair<host_id, report_number>> Included;
+  message_round Round = {};
 };
 
 /// Role of this host in the exchange of load reports.
--- a/modules/bw_gateway/servers/load_exchange.cpp
+++ b/modules/bw_gateway/servers/load_exchange.cpp
@@ -1,5 +1,7 @@
 #include "bw_gateway/servers/load_exchange.h"
 
+#include "bw_core/random/stable_hash.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -30,6 +32,12 @@
 
 } // namespace
 
+// The numbers of two hosts that both take a duty for a moment differ, so that
+// the message of one is not taken for a part of the other's.
+load_exchange::load_exchange(host_id GivenSelf, data_centre_id OwnDataCentre)
+    : Self(std::move(GivenSelf)), OwnDataCentre(std::move(OwnDataCentre)),
+      LastRound(static_cast<std::uint32_t>(stableHash(Self.value()))) {}
+
 // Creates a record for every server with own requests, so that iterating over
 // the records covers all of them.
 load_exchange::load_map load_exchange::loadMap(const load_list &OwnLoad) {
@@ -156,9 +164,18 @@
   return Result;
 }
 
+// Skips 0, which marks messages without further parts.
+message_round load_exchange::nextRound() {
+  LastRound = LastRound.next();
+  if (LastRound == message_round())
+    LastRound = LastRound.next();
+  return LastRound;
+}
+
 load_aggregate load_exchange::takeAggregate(const load_list &OwnLoad,
                                             bool WithLoad) {
-  load_aggregate Result{.HasLoad = WithLoad, .Servers = {}};
+  load_aggregate Result{
+      .HasLoad = WithLoad, .Servers = {}, .Round = nextRound()};
   const load_map Own = loadMap(OwnLoad);
   for (auto &[Server, Record] : Records) {
     aggregated_load Item{.Server = Server,
@@ -189,8 +206,10 @@
 
 load_summary load_exchange::takeSummary(const load_list &OwnLoad,
                                         bool WithLoad) {
-  load_summary Result{
-      .DataCentre = OwnDataCentre, .HasLoad = WithLoad, .Servers = {}};
+  load_summary Result{.DataCentre = OwnDataCentre,
+                      .HasLoad = WithLoad,
+                      .Servers = {},
+                      .Round = nextRound()};
   const load_map Own = loadMap(OwnLoad);
   FailureForRemote = false;
   for (auto &[Server, Record] : Records) {
@@ -234,9 +253,14 @@
 void load_exchange::receive(const load_summary &Summary, time_point Now) {
   if (!Duty.IsAggregator || Summary.DataCentre == OwnDataCentre)
     return;
-  if (Summary.HasLoad)
-    replaceLoad(RemoteDataCentres[Summary.DataCentre], &record::RemoteInFlight,
-                Summary.Servers, Now);
+  if (Summary.HasLoad) {
+    reported_load &Load = RemoteDataCentres[Summary.DataCentre];
+    if (Summary.Round != message_round() && Summary.Round == Load.Round)
+      addLoad(Load, &record::RemoteInFlight, Summary.Servers);
+    else
+      replaceLoad(Load, &record::RemoteInFlight, Summary.Servers, Now);
+    Load.Round = Summary.Round;
+  }
   if (Duty.IsFirst)
     for (const server_report &Each : Summary.Servers) {
       record &Record = Records[Each.Server];
@@ -253,10 +277,21 @@
   // An aggregator uses the sums of the reports that it received itself.
   if (Duty.IsAggregator)
     return;
-  clearAggregate();
-  LocalSenders.clear();
-  for (const auto &[Host, Number] : Aggregate.Included)
-    LocalSenders.push_back(Host);
+  // Each part of a long message adds to the parts before it, whichever of them
+  // was lost.
+  if (Aggregate.Round == message_round() || Aggregate.Round != AggregateRound) {
+    clearAggregate();
+    IncludedReport.reset();
+    AggregateRound = Aggregate.Round;
+  }
+  if (!Aggregate.Included.empty()) {
+    LocalSenders.clear();
+    for (const auto &[Host, Number] : Aggregate.Included) {
+      LocalSenders.push_back(Host);
+      if (Host == Self)
+        IncludedReport = Number;
+    }
+  }
   for (const aggregated_load &Each : Aggregate.Servers) {
     record &Record = Records[Each.Server];
     Record.AggregatedLocal = Each.Local;
@@ -268,20 +303,18 @@
 // Subtracts the report of this host that the sums include, since its own
 // in-flight requests are counted exactly elsewhere.
 void load_exchange::subtractOwnLoad(const load_aggregate &Aggregate) {
-  const auto Included =
-      std::find_if(Aggregate.Included.begin(), Aggregate.Included.end(),
-                   [&](const auto &Each) { return Each.first == Self; });
-  if (Included == Aggregate.Included.end())
+  if (!IncludedReport)
     return;
   const auto Report =
       std::find_if(Reported.begin(), Reported.end(), [&](const auto &Each) {
-        return Each.first == Included->second;
+        return Each.first == *IncludedReport;
       });
   if (Report == Reported.end())
     return;
-  for (const auto &[Server, InFlight] : Report->second) {
-    std::uint32_t &Local = Records[Server].AggregatedLocal;
-    Local -= std::min(Local, InFlight);
+  const load_map Own(Report->second.begin(), Report->second.end());
+  for (const aggregated_load &Each : Aggregate.Servers) {
+    std::uint32_t &Local = Records[Each.Server].AggregatedLocal;
+    Local -= std::min(Local, countAt(Own, Each.Server));
   }
 }
 
@@ -297,6 +330,11 @@
                                 time_point Now) {
   subtractLoad(Load, Counter);
   Load = {.Servers = {}, .At = Now};
+  addLoad(Load, Counter, Servers);
+}
+
+void load_exchange::addLoad(reported_load &Load, load_counter Counter,
+                            const std::vector<server_report> &Servers) {
   for (const server_report &Each : Servers) {
     if (Each.InFlight == 0)
       continue;
--- a/modules/bw_gateway/servers/load_exchange.h
+++ b/modules/bw_gateway/servers/load_exchange.h
@@ -20,8 +20,7 @@
 /// does not grow with the number of hosts. Not thread-safe.
 class load_exchange {
 public:
-  load_exchange(host_id Self, data_centre_id OwnDataCentre)
-      : Self(std::move(Self)), OwnDataCentre(std::move(OwnDataCentre)) {}
+  load_exchange(host_id Self, data_centre_id OwnDataCentre);
 
   void setDuty(exchange_duty NewDuty);
   exchange_duty duty() const { return Duty; }
@@ -103,6 +102,7 @@
     load_list Servers;
     time_point At{};
     report_number Number;
+    message_round Round;
   };
   using load_counter = std::uint32_t record::*;
   using load_map = std::unordered_map<backend_server_id, std::uint32_t>;
@@ -117,6 +117,9 @@
               time_point Now);
   void clearAggregate();
   void subtractOwnLoad(const load_aggregate &Aggregate);
+  void addLoad(reported_load &Load, load_counter Counter,
+               const std::vector<server_report> &Servers);
+  message_round nextRound();
   /// Queues a statement that other hosts have not heard yet.
   void forward(const backend_server_id &Server,
                const std::optional<server_statement> &Statement);
@@ -134,6 +137,11 @@
   std::map<host_id, reported_load> LocalHosts;
   std::map<data_centre_id, reported_load> RemoteDataCentres;
   std::vector<host_id> LocalSenders;
+  /// The last message of this host that may be sent in parts.
+  message_round LastRound;
+  /// The aggregate that is being received, and the own report that it includes.
+  message_round AggregateRound;
+  std::optional<report_number> IncludedReport;
   /// When an aggregate with load was last received.
   time_point AggregateAt{};
   bool HasUnreportedFailure = false;
--- a/modules/bw_gateway/servers/load_exchange_test.cpp
+++ b/modules/bw_gateway/servers/load_exchange_test.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(anAggregatorSumsTheReports);
   CPPUNIT_TEST(ownRequestsAreNotCountedTwice);
   CPPUNIT_TEST(sumsOfAnAggregatorExcludeTheReceiversRequests);
+  CPPUNIT_TEST(partsOfAMessageAddUp);
   CPPUNIT_TEST(outcomesAreForwardedByOneAggregator);
   CPPUNIT_TEST(broadcastFailuresAreNotForwardedLocally);
   CPPUNIT_TEST(onlyFailuresLeaveTheDataCentre);
@@ -114,6 +115,47 @@
     CPPUNIT_ASSERT_EQUAL(0U, Host.inFlightElsewhere(B));
   }
 
+  // Guards against a part of a long message that replaces the parts before it,
+  // and against parts that remain when the next message comes.
+  void partsOfAMessageAddUp() {
+    const message_round One(1);
+    load_exchange Host(host_id("self"), Near);
+    Host.takeReport({{B, 1}});
+    Host.receive(
+        load_aggregate{.Servers = {{.Server = A, .Local = 5}},
+                       .Included = {{host_id("self"), report_number(1)}},
+                       .Round = One},
+        Now);
+    Host.receive(
+        load_aggregate{.Servers = {{.Server = B, .Local = 3}}, .Round = One},
+        Now);
+    CPPUNIT_ASSERT_EQUAL(5U, Host.inFlightElsewhere(A));
+    CPPUNIT_ASSERT_EQUAL(2U, Host.inFlightElsewhere(B));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Host.localSenders().size());
+    Host.receive(load_aggregate{.Servers = {{.Server = B, .Local = 1}},
+                                .Round = One.next()},
+                 Now);
+    CPPUNIT_ASSERT_EQUAL(0U, Host.inFlightElsewhere(A));
+    CPPUNIT_ASSERT_EQUAL(1U, Host.inFlightElsewhere(B));
+    load_exchange Aggregator(host_id("self"), Near);
+    Aggregator.setDuty(First);
+    const auto Receive = [&](const backend_server_id &Server,
+                             message_round Round) {
+      Aggregator.receive(
+          load_summary{.DataCentre = Far,
+                       .Servers = {{.Server = Server, .InFlight = 4}},
+                       .Round = Round},
+          Now);
+    };
+    Receive(A, One);
+    Receive(B, One);
+    CPPUNIT_ASSERT_EQUAL(4U, Aggregator.inFlightElsewhere(A));
+    CPPUNIT_ASSERT_EQUAL(4U, Aggregator.inFlightElsewhere(B));
+    Receive(B, One.next());
+    CPPUNIT_ASSERT_EQUAL(0U, Aggregator.inFlightElsewhere(A));
+    CPPUNIT_ASSERT_EQUAL(4U, Aggregator.inFlightElsewhere(B));
+  }
+
   // Guards against outcomes counted twice because two aggregators forward them.
   void outcomesAreForwardedByOneAggregator() {
     for (const exchange_duty Duty : {First, Second}) {
--- a/modules/bw_gateway_daemon/peers/exchange_messages.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_messages.cpp
@@ -103,6 +103,7 @@
 void encodeAggregate(const load_aggregate &Aggregate,
                      exchange::host_report &Result) {
   Result.set_is_aggregate(true);
+  Result.set_round(Aggregate.Round.value());
   Result.set_has_load(Aggregate.HasLoad);
   for (const aggregated_load &Each : Aggregate.Servers) {
     auto *Server = Result.add_aggregate();
@@ -121,8 +122,10 @@
 }
 
 load_aggregate decodeAggregate(const exchange::host_report &Report) {
-  load_aggregate Result{
-      .HasLoad = Report.has_load(), .Servers = {}, .Included = {}};
+  load_aggregate Result{.HasLoad = Report.has_load(),
+                        .Servers = {},
+                        .Included = {},
+                        .Round = message_round(Report.round())};
   for (const auto &Each : Report.included())
     Result.Included.emplace_back(host_id(Each.host()),
                                  report_number(Each.number()));
@@ -160,6 +163,57 @@
 
 } // namespace
 
+namespace {
+
+// Upper bounds of the encoded size of an entry without its name, and of the
+// other members of a report.
+constexpr std::size_t MaxEntryBytes = 48;
+constexpr std::size_t MaxReportStateBytes = 512;
+
+// Splits the entries of a message so that each part can be encoded in the given
+// number of bytes. The first part has the given bytes less.
+template <typename Message>
+std::vector<Message> splitByServers(Message Whole, std::size_t MaxBytes,
+                                    std::size_t FirstBytes) {
+  std::vector<Message> Result;
+  auto Servers = std::exchange(Whole.Servers, {});
+  Result.push_back(std::move(Whole));
+  std::size_t Bytes = MaxReportStateBytes + FirstBytes;
+  for (auto &Each : Servers) {
+    const std::size_t Size = MaxEntryBytes + Each.Server.value().size();
+    if (Bytes + Size > MaxBytes && !Result.back().Servers.empty()) {
+      Message Next{};
+      Next.HasLoad = Result.back().HasLoad;
+      Next.Round = Result.back().Round;
+      Result.push_back(std::move(Next));
+      Bytes = MaxReportStateBytes;
+    }
+    Bytes += Size;
+    Result.back().Servers.push_back(std::move(Each));
+  }
+  return Result;
+}
+
+} // namespace
+
+std::vector<load_aggregate> bw::splitAggregate(load_aggregate Whole,
+                                               byte_count MaxBytes) {
+  std::size_t Included = 0;
+  for (const auto &[Host, Number] : Whole.Included)
+    Included += MaxEntryBytes + Host.value().size();
+  return splitByServers(std::move(Whole), MaxBytes.value(), Included);
+}
+
+std::vector<load_summary> bw::splitSummary(load_summary Whole,
+                                           byte_count MaxBytes) {
+  const data_centre_id DataCentre = Whole.DataCentre;
+  std::vector<load_summary> Result =
+      splitByServers(std::move(Whole), MaxBytes.value(), 0);
+  for (load_summary &Each : Result)
+    Each.DataCentre = DataCentre;
+  return Result;
+}
+
 std::string bw::encodeReport(const host_report &Report) {
   exchange::host_report Result;
   Result.set_host(Report.Observations.Host.value());
@@ -179,6 +233,7 @@
   if (Report.Summary) {
     Result.set_summary_of(Report.Summary->DataCentre.value());
     Result.set_has_load(Report.Summary->HasLoad);
+    Result.set_round(Report.Summary->Round.value());
   }
   for (const server_report &Each :
        Report.Summary ? Report.Summary->Servers : Report.Observations.Servers) {
@@ -225,7 +280,8 @@
   if (!Report.summary_of().empty())
     Result.Summary = {.DataCentre = data_centre_id(Report.summary_of()),
                       .HasLoad = Report.has_load(),
-                      .Servers = std::move(Result.Observations.Servers)};
+                      .Servers = std::move(Result.Observations.Servers),
+                      .Round = message_round(Report.round())};
   return Result;
 }
 
--- a/modules/bw_gateway_daemon/peers/exchange_messages.h
+++ b/modules/bw_gateway_daemon/peers/exchange_messages.h
@@ -32,6 +32,12 @@
   host_state State;
 };
 
+/// Splits a message into parts that each fit into a report of the given size
+/// once encoded. A short message stays as it is.
+std::vector<load_aggregate> splitAggregate(load_aggregate Whole,
+                                           byte_count MaxBytes);
+std::vector<load_summary> splitSummary(load_summary Whole, byte_count MaxBytes);
+
 std::string encodeReport(const host_report &Report);
 /// \throws exchange_error, like all decoders
 host_report decodeReport(std::string_view Bytes);
--- a/modules/bw_gateway_daemon/peers/exchange_messages_test.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_messages_test.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(reportsRoundTrip);
   CPPUNIT_TEST(summariesRoundTrip);
   CPPUNIT_TEST(aggregatesRoundTrip);
+  CPPUNIT_TEST(longMessagesAreSplit);
   CPPUNIT_TEST(listsAndConfigurationsRoundTrip);
   CPPUNIT_TEST(rejectsInvalidMessages);
   CPPUNIT_TEST_SUITE_END();
@@ -97,6 +98,66 @@
     CPPUNIT_ASSERT(Got.Aggregate->Included[0].second == report_number(3));
   }
 
+  // Guards against messages that no datagram can carry: the system would refuse
+  // to send them, and all hosts would lose the load of all servers.
+  void longMessagesAreSplit() {
+    constexpr byte_count MaxBytes(60'000);
+    constexpr std::size_t MaxDatagram = 65'507;
+    constexpr int Servers = 9'700;
+    constexpr int Hosts = 96;
+    load_aggregate Sums{.Round = message_round(5)};
+    load_summary Summary{.DataCentre = data_centre_id("a"),
+                         .Round = message_round(6)};
+    for (int Index = 0; Index < Hosts; ++Index)
+      Sums.Included.emplace_back(host_id("host-" + std::to_string(Index)),
+                                 report_number(1'000'000));
+    for (int Index = 0; Index < Servers; ++Index) {
+      const backend_server_id Name("instance-" + std::to_string(Index));
+      Sums.Servers.push_back({.Server = Name,
+                              .Local = 60'000,
+                              .Remote = 60'000,
+                              .Good = 1.5,
+                              .Bad = 2.5,
+                              .Statement = server_statement{
+                                  .RequestLimit = 0.3, .IsLeaving = true}});
+      Summary.Servers.push_back(
+          {.Server = Name, .Good = 1, .Bad = 1.5, .InFlight = 60'000});
+    }
+    host_report Report{.Observations = {.Host = host_id("h1"), .Servers = {}},
+                       .Summary = {},
+                       .Aggregate = Sums,
+                       .State = {}};
+    CPPUNIT_ASSERT(encodeReport(Report).size() > MaxDatagram);
+    std::size_t Seen = 0;
+    std::size_t Parts = 0;
+    for (const load_aggregate &Each : splitAggregate(Sums, MaxBytes)) {
+      Report.Aggregate = Each;
+      const std::string Bytes = encodeReport(Report);
+      CPPUNIT_ASSERT(Bytes.size() <= MaxBytes.value());
+      const host_report Got = decodeReport(Bytes);
+      CPPUNIT_ASSERT(Got.Aggregate->Round == Sums.Round);
+      CPPUNIT_ASSERT_EQUAL(Parts == 0, !Got.Aggregate->Included.empty());
+      Seen += Got.Aggregate->Servers.size();
+      ++Parts;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(Servers), Seen);
+    Report.Aggregate.reset();
+    Seen = 0;
+    for (const load_summary &Each : splitSummary(Summary, MaxBytes)) {
+      Report.Summary = Each;
+      const std::string Bytes = encodeReport(Report);
+      CPPUNIT_ASSERT(Bytes.size() <= MaxBytes.value());
+      const host_report Got = decodeReport(Bytes);
+      CPPUNIT_ASSERT(Got.Summary->Round == Summary.Round);
+      CPPUNIT_ASSERT(Got.Summary->DataCentre == Summary.DataCentre);
+      Seen += Got.Summary->Servers.size();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(Servers), Seen);
+    // A message that fits stays as it is.
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         splitAggregate(load_aggregate{}, MaxBytes).size());
+  }
+
   void listsAndConfigurationsRoundTrip() {
     const servers_listed List{
         .Revision = store_revision(5),
--- a/modules/bw_gateway_daemon/peers/peer_report_service.cpp
+++ b/modules/bw_gateway_daemon/peers/peer_report_service.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-// A report is about 40 bytes for each server with requests.
-constexpr std::size_t MaxReportBytes = 60'000;
+// A datagram carries at most 65,507 bytes. Longer messages are sent in parts.
+constexpr byte_count MaxReportBytes(60'000);
 // The store notifies its followers of a change within about 50 ms. A follower
 // that is still behind after this time is cut off from the store.
 constexpr duration MaxPropagationDelay = std::chrono::milliseconds(300);
@@ -35,7 +35,7 @@
   /// Used by the sending thread only.
   asio::io_context SendContext{1};
   udp::socket SendSocket{SendContext};
-  std::array<char, MaxReportBytes> Buffer{};
+  std::array<char, MaxReportBytes.value()> Buffer{};
 };
 
 peer_report_service::peer_report_service(runtime_clock &Clock,
@@ -184,12 +184,20 @@
          encodeReport(Observations));
   if (Report.Aggregate) {
     host_report Sums = makeStateReport();
-    Sums.Aggregate = std::move(Report.Aggregate);
-    sendTo(Near, encodeReport(Sums));
+    for (load_aggregate &Part :
+         splitAggregate(std::move(*Report.Aggregate), MaxReportBytes)) {
+      Sums.Aggregate = std::move(Part);
+      sendTo(Near, encodeReport(Sums));
+    }
   }
   host_report Summary = makeStateReport();
-  Summary.Summary = std::move(Report.Summary);
-  sendTo(Far, encodeReport(Summary));
+  if (!Report.Summary)
+    return sendTo(Far, encodeReport(Summary));
+  for (load_summary &Part :
+       splitSummary(std::move(*Report.Summary), MaxReportBytes)) {
+    Summary.Summary = std::move(Part);
+    sendTo(Far, encodeReport(Summary));
+  }
 }
 
 void peer_report_service::sendNotice(own_report::notice Reach) {
