--- a/modules/bw_gateway_daemon/peers/exchange_messages.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_messages.cpp
@@ -262,7 +262,9 @@
                 .ListDigest = list_digest(Report.list_digest()),
                 .ListAge = decodeAge(Report.list_age()),
                 .HostsDigest = list_digest(Report.hosts_digest()),
-                .ConfirmedAge = decodeAge(Report.confirmed_age())}};
+                .ConfirmedAge = Report.has_confirmed_age()
+                                    ? decodeAge(Report.confirmed_age())
+                                    : duration::max()}};
   if (Report.is_aggregate()) {
     Result.Observations.HasLoad = false;
     Result.Aggregate = decodeAggregate(Report);
--- a/modules/bw_gateway_daemon/peers/exchange_messages_test.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_messages_test.cpp
@@ -1,5 +1,7 @@
 #include "bw_gateway_daemon/peers/exchange_messages.h"
 
+#include "bw_gateway_daemon/peers/exchange.pb.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <limits>
@@ -10,6 +12,7 @@
 class exchange_messages_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(exchange_messages_test);
   CPPUNIT_TEST(reportsRoundTrip);
+  CPPUNIT_TEST(reportsOfOlderHostsConfirmNothing);
   CPPUNIT_TEST(summariesRoundTrip);
   CPPUNIT_TEST(aggregatesRoundTrip);
   CPPUNIT_TEST(longMessagesAreSplit);
@@ -56,6 +59,19 @@
     CPPUNIT_ASSERT(decodeReport(encodeReport(Unread)).State.ListAge > 1h);
   }
 
+  // Guards against taking a missing field for an age of zero while hosts are
+  // replaced one by one: the newer ones would take any list for a current one
+  // and never read the store.
+  void reportsOfOlderHostsConfirmNothing() {
+    exchange::host_report Older;
+    Older.set_host("h1");
+    Older.set_list_digest(77);
+    Older.set_list_age(1500);
+    const host_report Got = decodeReport(Older.SerializeAsString());
+    CPPUNIT_ASSERT(Got.State.ListAge == 1500ms);
+    CPPUNIT_ASSERT(Got.State.ConfirmedAge > 1h);
+  }
+
   void summariesRoundTrip() {
     const host_report Got = decodeReport(encodeReport(
         {.Observations = {.Host = host_id("h1"), .Servers = {}},
