--- a/review/5/case.py
+++ b/review/5/case.py
@@ -6,7 +6,7 @@
 import sys
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from standins import (CannotRun, Gateway, Instance, Store, TROUBLE, configuration,
                       free_address, read_answer, request_bytes, route, run_case, signature)
 
--- a/review/common/standins.py
+++ b/review/standins.py
@@ -17,7 +17,7 @@
 import time
 import tomllib
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 HOST = "a.example"
