Take only what its own deadline ends before a planned stop does

Cause: during a planned stop, the engine took a request if the longest recent latency of its route fitted into the time left.

Change: only the request's own deadline (its caller's time and the route's timeout) bounds it. What could outlast the stop is refused at once with 503 and a Retry-After of 20 to 100 ms, as other hosts can serve it; the estimate is gone. Refusals log the time left until the request's deadline.

The test startsNoAttemptThatAStopWouldCut now takes its requests before the stop begins, since they would be refused after it; what it asserts is the same.

--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -19,9 +19,6 @@
 constexpr std::uint32_t MinLatencySamples = 8;
 // Smoothing factor of a route's mean latency.
 constexpr double LatencySmoothing = 0.1;
-// Factor by which the longest recent latency of a route decays with each
-// answer. It halves in 140 answers, so it is near the 99th percentile.
-constexpr double LongLatencyDecay = 0.995;
 // A repeatable request is hedged after this share of its target latency, early
 // enough for the second answer to meet the target.
 constexpr double HedgeShareOfTarget = 0.5;
@@ -39,6 +36,10 @@
 // so that callers do not all retry at once.
 constexpr duration MinRetryAfter = std::chrono::milliseconds(300);
 constexpr duration MaxRetryAfter = std::chrono::milliseconds(900);
+// The same for requests refused because this host stops: other hosts can serve
+// them at once.
+constexpr duration MinRetryAfterStop = std::chrono::milliseconds(20);
+constexpr duration MaxRetryAfterStop = std::chrono::milliseconds(100);
 // Weight of a declined attempt as a failure of the server. A full server is
 // healthy, but one that declines requests while others accept them should be
 // avoided. The weight falls to 0 as the service's share of declined attempts
@@ -111,7 +112,7 @@
   Request.Service = Splits.try_emplace(Request.Route->Id, Random)
                         .first->second.next(Request.Route->Destinations);
   budgetOf(Request.Service).requestStarted();
-  if (!finishesBeforeStop(Request, Now))
+  if (!endsBeforeStop(Request))
     return refuse(Found, refusal_reason::Stopping, Now, Out);
   if (!startAttempt(Event.Request, Request, request_step::Sent, Now, Out))
     return refuse(Found, refusal_reason::NoServer, Now, Out);
@@ -135,7 +136,7 @@
 bool gateway_engine::startAttempt(request_number Number, request_state &Request,
                                   request_step Step, time_point Now,
                                   commands &Out) {
-  if (Request.Deadline - Now < MinTimeLeft || !finishesBeforeStop(Request, Now))
+  if (Request.Deadline - Now < MinTimeLeft || !endsBeforeStop(Request))
     return false;
   const bool IsFinalAttempt =
       Request.Route->Execution == execution_rule::AtMostOnce ||
@@ -404,7 +405,7 @@
   const bool IsNotExecuted =
       Reason != refusal_reason::Unknown && Reason != refusal_reason::Timeout;
   if (IsNotExecuted && Reason != refusal_reason::NoRoute)
-    RetryAfter = retryAfter(Request.Service, Now);
+    RetryAfter = retryAfter(Request.Service, Reason, Now);
   Out.push_back(refuse_request{
       .Request = Found->first, .Reason = Reason, .RetryAfter = RetryAfter});
   report(Request, {.Step = request_step::Refused, .Reason = Reason}, Now);
@@ -412,10 +413,13 @@
 }
 
 // Not before a server accepts requests again, if all of them restrain requests.
-duration gateway_engine::retryAfter(const service_id &Service, time_point Now) {
+duration gateway_engine::retryAfter(const service_id &Service,
+                                    refusal_reason Reason, time_point Now) {
+  const bool IsStopping = Reason == refusal_reason::Stopping;
+  const duration Min = IsStopping ? MinRetryAfterStop : MinRetryAfter;
+  const duration Max = IsStopping ? MaxRetryAfterStop : MaxRetryAfter;
   const duration Usual =
-      MinRetryAfter + std::chrono::duration_cast<duration>(
-                          (MaxRetryAfter - MinRetryAfter) * Random.unit());
+      Min + std::chrono::duration_cast<duration>((Max - Min) * Random.unit());
   const time_point Next = Pool.nextRequest(Service, Now);
   return Next == time_point::max() ? Usual : std::max(Usual, Next - Now);
 }
@@ -464,24 +468,14 @@
       Known.Samples == 0 ? Seconds
                          : Known.MeanLatency +
                                LatencySmoothing * (Seconds - Known.MeanLatency);
-  Known.LongLatency = std::max(Seconds, LongLatencyDecay * Known.LongLatency);
   ++Known.Samples;
 }
 
-// A request that the stop would cut is refused while it has certainly not run;
-// its caller then goes to another host. One that ends at its own deadline
-// before the stop is not cut.
-bool gateway_engine::finishesBeforeStop(const request_state &Request,
-                                        time_point Now) const {
-  if (!FinishBy)
-    return true;
-  const gateway_route &Route = *Request.Route;
-  duration Needed = Route.TargetLatency.value_or(std::chrono::seconds(1));
-  const auto Known = Statistics.find(Route.Id);
-  if (Known != Statistics.end() && Known->second.Samples >= MinLatencySamples)
-    Needed = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(Known->second.LongLatency));
-  return std::min(Now + Needed, Request.Deadline + DeadlineSlack) <= *FinishBy;
+// A request that the stop could cut is refused while it has certainly not run;
+// its caller then goes to another host. Only the request's own deadline bounds
+// its time: the latency of earlier requests says nothing about this one.
+bool gateway_engine::endsBeforeStop(const request_state &Request) const {
+  return !FinishBy || Request.Deadline + DeadlineSlack <= *FinishBy;
 }
 
 void gateway_engine::endOpenRequests(time_point Now, commands &Out) {
@@ -607,6 +601,7 @@
   if (Request.Route != nullptr) {
     Decision.Route = Request.Route->Id;
     Decision.Execution = Request.Route->Execution;
+    Decision.TimeLeft = Request.Deadline - Now;
   }
   Decision.Service = Request.Service;
   Decision.Age = Now - Request.Arrived;
--- a/modules/bw_gateway/engine/gateway_engine.h
+++ b/modules/bw_gateway/engine/gateway_engine.h
@@ -117,9 +117,6 @@
   struct route_statistics {
     /// In seconds; 0 before the first answer.
     double MeanLatency = 0;
-    /// Longest recent latency in seconds: a maximum that decays with each
-    /// answer.
-    double LongLatency = 0;
     std::uint32_t Samples = 0;
   };
   using request_map = std::unordered_map<request_number, request_state>;
@@ -165,13 +162,14 @@
   double declinedWeight(const service_id &Service) const;
   void recordLatency(const request_state &Request, const attempt &Ended,
                      time_point Now);
-  /// True unless a planned stop would cut an attempt that starts now.
-  bool finishesBeforeStop(const request_state &Request, time_point Now) const;
+  /// True unless a planned stop could end before the request does.
+  bool endsBeforeStop(const request_state &Request) const;
   /// Answers the requests that are still open at the end of a planned stop.
   void endOpenRequests(time_point Now, commands &Out);
   duration slowAfter(const gateway_route &Route) const;
   duration hedgeAfter(const gateway_route &Route) const;
-  duration retryAfter(const service_id &Service, time_point Now);
+  duration retryAfter(const service_id &Service, refusal_reason Reason,
+                      time_point Now);
   double budgetCapacity() const;
   bool takeHedgeToken(const request_state &Request);
   retry_budget &budgetOf(const service_id &Service);
--- a/modules/bw_gateway/engine/gateway_engine_test.cpp
+++ b/modules/bw_gateway/engine/gateway_engine_test.cpp
@@ -98,6 +98,8 @@
   CPPUNIT_TEST(tellsTheServerNoMoreTimeThanIsLeft);
   CPPUNIT_TEST(keepsNothingOfFinishedRequests);
   CPPUNIT_TEST(takesOnlyWhatItCanFinishWhileStopping);
+  CPPUNIT_TEST(estimatesOfWorkDoNotBoundAStop);
+  CPPUNIT_TEST(cutsNothingThatItTookWhileStopping);
   CPPUNIT_TEST(startsNoAttemptThatAStopWouldCut);
   CPPUNIT_TEST(answersOpenRequestsBeforeAStopEnds);
   CPPUNIT_TEST_SUITE_END();
@@ -304,13 +306,83 @@
     only<start_attempt>(arrive("/submit/1", 1s));
   }
 
+  // Guards against a submission that is taken because earlier ones were fast,
+  // takes longer, and is cut while its server works on it.
+  void estimatesOfWorkDoNotBoundAStop() {
+    configure();
+    for (int Count = 0; Count < 20; ++Count) {
+      const auto Usual = only<start_attempt>(arrive("/submit/1"));
+      Now += 200ms;
+      end(Usual, attempt_outcome::Answered, 200);
+    }
+    handle(stop_began{.FinishWithin = 5500ms});
+    Now += 3300ms;
+    // 2.2 s are left, and the route allows the server 3 s.
+    for (const char *Path : {"/submit/1", "/read/1"}) {
+      const auto Refused = only<refuse_request>(arrive(Path));
+      CPPUNIT_ASSERT(Refused.Reason == refusal_reason::Stopping);
+      CPPUNIT_ASSERT(Refused.RetryAfter.has_value());
+    }
+    const auto Taken = only<start_attempt>(arrive("/submit/1", 2s));
+    Now += 2s;
+    CPPUNIT_ASSERT(
+        only<relay_answer>(end(Taken, attempt_outcome::Answered, 200))
+            .Attempt == Taken.Attempt);
+  }
+
+  // Guards against any request that arrives during a planned stop and is
+  // neither refused at once nor ended by its own deadline, whatever its time
+  // limit, and however long its servers take.
+  void cutsNothingThatItTookWhileStopping() {
+    constexpr duration FinishWithin = 5500ms;
+    random_source Random(testSeed());
+    int Taken = 0;
+    int Refused = 0;
+    for (int Round = 0; Round < 50; ++Round) {
+      setUp();
+      configure();
+      handle(stop_began{.FinishWithin = FinishWithin});
+      const time_point Stopped = Now;
+      const request_number Last = LastRequest;
+      const auto IsFinal = [&](const refuse_request &Answer) {
+        return Answer.Request <= Last ||
+               Answer.Reason == refusal_reason::Timeout ||
+               (Answer.Reason == refusal_reason::NotExecuted &&
+                Answer.RetryAfter);
+      };
+      while (Now < Stopped + FinishWithin) {
+        for (const gateway_command &Each : advance(50ms))
+          if (const auto *Answer = std::get_if<refuse_request>(&Each))
+            CPPUNIT_ASSERT(IsFinal(*Answer));
+        const auto Out =
+            arrive(Random.unit() < 0.5 ? "/submit/1" : "/read/1",
+                   std::chrono::milliseconds(50 + int(6000 * Random.unit())));
+        if (const auto *Answer = std::get_if<refuse_request>(&Out.at(0))) {
+          ++Refused;
+          CPPUNIT_ASSERT(Answer->Reason == refusal_reason::Stopping &&
+                         Answer->RetryAfter.has_value());
+          continue;
+        }
+        ++Taken;
+        // Some servers decline; the others never answer.
+        if (Random.unit() < 0.3) {
+          const auto Next =
+              end(only<start_attempt>(Out), attempt_outcome::NotExecuted);
+          if (const auto *Answer = std::get_if<refuse_request>(&Next.at(0)))
+            CPPUNIT_ASSERT(IsFinal(*Answer));
+        }
+      }
+    }
+    CPPUNIT_ASSERT(Taken > 0 && Refused > 0);
+  }
+
   // Guards against a retry that a planned stop would cut: the caller would be
   // left without an answer although nothing has run.
   void startsNoAttemptThatAStopWouldCut() {
     configure();
-    handle(stop_began{.FinishWithin = 2s});
     const auto Declined = only<start_attempt>(arrive("/submit/1"));
     const auto Broken = only<start_attempt>(arrive("/submit/1"));
+    handle(stop_began{.FinishWithin = 2s});
     Now += 1500ms;
     CPPUNIT_ASSERT(
         only<refuse_request>(end(Declined, attempt_outcome::NotExecuted))
--- a/modules/bw_gateway/engine/gateway_log.h
+++ b/modules/bw_gateway/engine/gateway_log.h
@@ -37,6 +37,8 @@
   refusal_reason Reason = refusal_reason::Unknown;
   /// Time since the request arrived.
   duration Age{};
+  /// Time until its deadline, if a route was found.
+  std::optional<duration> TimeLeft = {};
   double FailureShare = 0;
   /// Age of the last outcome behind `FailureShare`, if there is one.
   std::optional<duration> EvidenceAge = {};
--- a/modules/bw_gateway_daemon/bw_gateway_daemon.h
+++ b/modules/bw_gateway_daemon/bw_gateway_daemon.h
@@ -20,5 +20,6 @@
 #include "bw_gateway_daemon/peers/exchange_pages.h"
 #include "bw_gateway_daemon/peers/peer_report_service.h"
 #include "bw_gateway_daemon/status/status_service.h"
+#include "bw_gateway_daemon/stop/stop_schedule.h"
 
 #endif
--- a/modules/bw_gateway_daemon/log/decision_log.cpp
+++ b/modules/bw_gateway_daemon/log/decision_log.cpp
@@ -13,9 +13,8 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
 }
 
-// Of a server without any outcome there is no age.
-std::string ageText(const std::optional<duration> &Age) {
-  return Age ? milliseconds(*Age) : "none";
+std::string optionalMilliseconds(const std::optional<duration> &Time) {
+  return Time ? milliseconds(*Time) : "none";
 }
 
 std::string_view causeName(request_step Step) {
@@ -47,7 +46,7 @@
          {"attempt", Attempt},
          {"cause", std::string(causeName(Decision.Step))},
          {"failure_share", fmt::format("{:.2f}", Decision.FailureShare)},
-         {"evidence_age_ms", ageText(Decision.EvidenceAge)},
+         {"evidence_age_ms", optionalMilliseconds(Decision.EvidenceAge)},
          {"age_ms", Age},
          {"version", std::to_string(Decision.Version.value())}});
   case request_step::AttemptFailed:
@@ -71,6 +70,7 @@
                      {"service", Decision.Service.value()},
                      {"reason", std::string(refusalName(Decision.Reason))},
                      {"age_ms", Age},
+                     {"time_left_ms", optionalMilliseconds(Decision.TimeLeft)},
                      {"version", std::to_string(Decision.Version.value())}});
   case request_step::CallerLeft:
     return logEvent(log_event::CallerLeft,
@@ -110,7 +110,7 @@
             {"address", Change.Server.Address.value()},
             {"start", std::to_string(Change.Server.Start.value())},
             {"failure_share", fmt::format("{:.2f}", Change.FailureShare)},
-            {"evidence_age_ms", ageText(Change.EvidenceAge)},
+            {"evidence_age_ms", optionalMilliseconds(Change.EvidenceAge)},
             {"unused_ms", milliseconds(Change.UnusedFor)},
             {"limit", fmt::format("{:.2f}", Change.Limit)},
             {"own_rate", fmt::format("{:.3f}", Change.OwnRate)},
