Replace the parser's state of a message as a whole

Cause: http1_parser reset the field being read item by item and missed HasValue. After a message with a trailer, the next one on the connection began with an empty field, which was passed on as the line ": ".

Change: everything known of a message is one struct, replaced when a message begins or ends. Trailer fields are counted against the head limit and dropped. easy_transfer had a fault of the same class: it read a trailer line that begins with "HTTP/" as the head of another response. It now ignores lines after the final head.

--- a/modules/bw_forward/parser/http1_parser.cpp
+++ b/modules/bw_forward/parser/http1_parser.cpp
@@ -3,6 +3,7 @@
 #include <http_parser.h>
 
 #include <limits>
+#include <utility>
 
 using namespace bw;
 
@@ -26,60 +27,76 @@
     return *static_cast<implementation *>(Parser->data);
   }
 
+  /// What is known of the message being parsed. Replaced as a whole when the
+  /// next one begins, so that nothing of a message outlives it.
+  struct message_state {
+    http1_head Head;
+    /// The field being parsed.
+    std::string Field;
+    std::string Value;
+    bool HasValue = false;
+    /// The head is complete; further fields are trailer fields.
+    bool IsHeadComplete = false;
+    std::size_t HeadSize = 0;
+  };
+
   static int onMessageBegin(http_parser *Parser) {
     implementation &Self = of(Parser);
-    Self.Head = {};
-    Self.Field.clear();
-    Self.Value.clear();
-    Self.HeadSize = 0;
+    Self.Message = {};
     Self.IsInMessage = true;
     return 0;
   }
 
   // A non-zero result makes http_parser stop with an error.
   int addToHeadSize(std::size_t Size) {
-    HeadSize += Size;
-    IsHeadTooBig = HeadSize > HeadLimit;
+    Message.HeadSize += Size;
+    IsHeadTooBig = Message.HeadSize > HeadLimit;
     return IsHeadTooBig ? 1 : 0;
   }
 
   static int onUrl(http_parser *Parser, const char *Data, std::size_t Size) {
-    of(Parser).Head.Target.append(Data, Size);
+    of(Parser).Message.Head.Target.append(Data, Size);
     return of(Parser).addToHeadSize(Size);
   }
 
+  // Trailer fields are counted and dropped: they arrive after the head was
+  // passed on.
   static int onHeaderField(http_parser *Parser, const char *Data,
                            std::size_t Size) {
     implementation &Self = of(Parser);
-    if (Self.HasValue)
-      Self.addHeader();
-    Self.Field.append(Data, Size);
+    if (!Self.Message.IsHeadComplete) {
+      if (Self.Message.HasValue)
+        Self.addHeader();
+      Self.Message.Field.append(Data, Size);
+    }
     return Self.addToHeadSize(Size);
   }
 
   static int onHeaderValue(http_parser *Parser, const char *Data,
                            std::size_t Size) {
     implementation &Self = of(Parser);
-    Self.HasValue = true;
-    Self.Value.append(Data, Size);
+    if (!Self.Message.IsHeadComplete) {
+      Self.Message.HasValue = true;
+      Self.Message.Value.append(Data, Size);
+    }
     return Self.addToHeadSize(Size);
   }
 
   void addHeader() {
     // ": " and CR LF.
     constexpr std::size_t Separators = 4;
-    HeadSize += Separators;
-    Head.Headers.add(std::move(Field), std::move(Value));
-    Field.clear();
-    Value.clear();
-    HasValue = false;
+    Message.HeadSize += Separators;
+    Message.Head.Headers.add(std::exchange(Message.Field, {}),
+                             std::exchange(Message.Value, {}));
+    Message.HasValue = false;
   }
 
   static int onHeadersComplete(http_parser *Parser) {
     implementation &Self = of(Parser);
-    if (Self.HasValue || !Self.Field.empty())
+    if (Self.Message.HasValue || !Self.Message.Field.empty())
       Self.addHeader();
-    http1_head &Head = Self.Head;
+    Self.Message.IsHeadComplete = true;
+    http1_head &Head = Self.Message.Head;
     Head.Status = static_cast<int>(Parser->status_code);
     if (Parser->type == HTTP_REQUEST)
       Head.Method = http_method_str(static_cast<http_method>(Parser->method));
@@ -106,14 +123,10 @@
   http1_parser_hooks Hooks;
   http_parser Parser{};
   http_parser_settings Callbacks{};
-  http1_head Head;
-  std::string Field;
-  std::string Value;
-  bool HasValue = false;
+  message_state Message;
   bool IsInMessage = false;
   bool IsComplete = false;
   bool IsHeadTooBig = false;
-  std::size_t HeadSize = 0;
   std::size_t HeadLimit = kibibytes(64).value();
 };
 
@@ -138,6 +151,7 @@
   if (Self.IsHeadTooBig)
     return {.Status = parse_status::HeadTooBig, .Taken = Taken};
   if (Self.IsComplete) {
+    Self.Message = {};
     if (HTTP_PARSER_ERRNO(&Self.Parser) == HPE_PAUSED)
       http_parser_pause(&Self.Parser, 0);
     // The bytes after an upgrade belong to another protocol.
--- a/modules/bw_forward/parser/http1_parser.h
+++ b/modules/bw_forward/parser/http1_parser.h
@@ -55,8 +55,9 @@
 };
 
 /// Incremental parser for one direction of an HTTP/1 connection. Parses any
-/// number of consecutive messages and stops at the end of each one. The hooks
-/// must not destroy the parser.
+/// number of consecutive messages and stops at the end of each one. Trailer
+/// fields count towards the head limit and are dropped. The hooks must not
+/// destroy the parser.
 class http1_parser {
 public:
   http1_parser(http1_side Side, http1_parser_hooks Hooks);
--- a/modules/bw_forward/parser/http1_parser_test.cpp
+++ b/modules/bw_forward/parser/http1_parser_test.cpp
@@ -83,6 +83,8 @@
   CPPUNIT_TEST(endOfConnectionEndsABodyWithoutLength);
   CPPUNIT_TEST(endOfConnectionDoesNotCompleteAShortBody);
   CPPUNIT_TEST(aResponseToHeadHasNoBody);
+  CPPUNIT_TEST(nothingOfAMessageReachesTheNext);
+  CPPUNIT_TEST(limitsTrailers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -166,6 +168,68 @@
     Responses.feed("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n", 1000);
     CPPUNIT_ASSERT_EQUAL(1, Responses.Completed);
   }
+
+  // Guards against fields of a trailer, or any other state of a message, that
+  // appear in the next message of the connection.
+  void nothingOfAMessageReachesTheNext() {
+    const struct {
+      const char *Form;
+      std::string Bytes;
+    } Forms[] = {
+        {"no trailer", "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"
+                       "0\r\n\r\n"},
+        {"trailer", "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"
+                    "0\r\nX-Time: 12\r\nX-Sum: 3\r\n\r\n"},
+        {"trailer field without a value",
+         "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"
+         "0\r\nX-Empty:\r\n\r\n"},
+        {"trailer that repeats fields of a head",
+         "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"
+         "0\r\nContent-Length: 7\r\nConnection: close\r\n\r\n"},
+        {"chunk extensions", "Transfer-Encoding: chunked\r\n\r\n"
+                             "2;a=b;c=\"d\"\r\nab\r\n0;e=f\r\n\r\n"},
+        {"empty chunked body",
+         "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Time: 1\r\n\r\n"},
+        {"last field without a value", "Content-Length: 0\r\nX-Empty:\r\n\r\n"},
+        {"length", "Content-Length: 2\r\n\r\nab"}};
+    for (const http1_side Side : {http1_side::Request, http1_side::Response}) {
+      const std::string Start = Side == http1_side::Request
+                                    ? "POST /a HTTP/1.1\r\n"
+                                    : "HTTP/1.1 200 OK\r\n";
+      const std::string Last = Start + "X-Own: 1\r\nContent-Length: 1\r\n\r\nz";
+      for (const auto &Form : Forms)
+        for (const std::size_t PieceSize : {1U, 3U, 1000U}) {
+          message_recorder Messages(Side);
+          Messages.feed(Start + Form.Bytes + Start + Form.Bytes + Last,
+                        PieceSize);
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(Form.Form, 3, Messages.Completed);
+          const parsed_message &Seen = Messages.Messages.back();
+          const auto &Fields = Seen.Head.Headers.fields();
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(Form.Form, std::size_t(2),
+                                       Fields.size());
+          CPPUNIT_ASSERT_EQUAL(std::string("X-Own"), Fields[0].Name);
+          CPPUNIT_ASSERT_EQUAL(std::string("Content-Length"), Fields[1].Name);
+          CPPUNIT_ASSERT(Seen.Head.KeepsConnection && !Seen.Head.IsChunked);
+          CPPUNIT_ASSERT_EQUAL(std::string("z"), Seen.Body);
+        }
+    }
+  }
+
+  // Guards against memory that grows with a trailer, and against a trailer
+  // whose size is counted against the next message.
+  void limitsTrailers() {
+    const std::string Start = "POST /a HTTP/1.1\r\nHost: a\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+    message_recorder Messages(http1_side::Request);
+    Messages.Parser.setHeadLimit(kibibytes(1));
+    for (int Count = 0; Count < 3; ++Count)
+      CPPUNIT_ASSERT(
+          Messages.feed(Start + "X-T: " + std::string(700, 'x') + "\r\n\r\n",
+                        100) == parse_status::Complete);
+    CPPUNIT_ASSERT(
+        Messages.feed(Start + "X-T: " + std::string(2000, 'x') + "\r\n\r\n",
+                      100) == parse_status::HeadTooBig);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http1_parser_test);
--- a/modules/bw_forward/service/forward_service_test.cpp
+++ b/modules/bw_forward/service/forward_service_test.cpp
@@ -160,6 +160,7 @@
   CPPUNIT_TEST(responseBrokenInItsHeadIsNoSuccess);
   CPPUNIT_TEST(responseEndedByResetIsIncomplete);
   CPPUNIT_TEST(secondCopyOfResponseEndsIdleConnection);
+  CPPUNIT_TEST(trailersReachNoOtherMessage);
   CPPUNIT_TEST(endlessHeadIsBounded);
   CPPUNIT_TEST(endlessBodyIsBounded);
   CPPUNIT_TEST_SUITE_END();
@@ -555,6 +556,41 @@
                    std::string::npos);
   }
 
+  // Guards against trailer fields of a request or response that appear in the
+  // next one on the same connection, which belongs to another caller.
+  void trailersReachNoOtherMessage() {
+    const std::string Trailer = "0\r\nX-Time: 12\r\n\r\n";
+    Caller->write("POST /diary/1 HTTP/1.1\r\nHost: one.example\r\n"
+                  "Bw-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "4\r\nbody\r\n" +
+                  Trailer);
+    const auto First = Decide->next<request_arrived>();
+    const auto Connection = start(First);
+    CPPUNIT_ASSERT(Connection->readUntil("\r\n\r\nbody").find("X-Time") ==
+                   std::string::npos);
+    Connection->write("HTTP/1.1 200 OK\r\nBw-Request-Id: r1\r\n"
+                      "Transfer-Encoding: chunked\r\nTrailer: X-Time\r\n\r\n"
+                      "6\r\nresult\r\n" +
+                      Trailer);
+    relay(First);
+    CPPUNIT_ASSERT(Caller->readUntil("result").find("X-Time:") ==
+                   std::string::npos);
+
+    Caller->write(request("r2", "POST", "body"));
+    const auto Second = Decide->next<request_arrived>();
+    command(startCommand(Second, 2s, "server-1"));
+    const std::string Sent = Connection->readUntil("\r\n\r\nbody");
+    CPPUNIT_ASSERT(Sent.find("\r\n: ") == Sent.npos);
+    CPPUNIT_ASSERT(Sent.find("X-Time") == Sent.npos);
+    Connection->write(answer("r2", "second"));
+    relay(Second);
+    const std::string Got = Caller->readUntil("second");
+    CPPUNIT_ASSERT(Got.find("\r\n: ") == Got.npos);
+    CPPUNIT_ASSERT(Got.find("X-Time") == Got.npos);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1),
+                         Forward->counters().ServerConnections.load());
+  }
+
   // Guards against memory that grows with the head of a response, and against a
   // success or a reused connection after it.
   void endlessHeadIsBounded() {
--- a/modules/bw_http/client/easy_transfer.cpp
+++ b/modules/bw_http/client/easy_transfer.cpp
@@ -86,12 +86,14 @@
   return Total;
 }
 
+// libcurl passes trailer fields on as header lines, too.
 void easy_transfer::takeHeaderLine(std::string_view Line) {
+  if (IsHeadComplete)
+    return;
   while (!Line.empty() && (Line.back() == '\r' || Line.back() == '\n'))
     Line.remove_suffix(1);
   if (Line.starts_with("HTTP/")) {
     Head = {};
-    IsHeadComplete = false;
     const std::size_t Space = Line.find(' ');
     if (Space != Line.npos)
       std::from_chars(Line.data() + Space + 1, Line.data() + Line.size(),
@@ -101,14 +103,14 @@
   if (Line.empty()) {
     // Interim responses (1xx) are followed by the final head.
     constexpr int FirstFinalStatus = 200;
-    if (HeadStatus < FirstFinalStatus || IsHeadComplete)
+    if (HeadStatus < FirstFinalStatus)
       return;
     IsHeadComplete = true;
     Request.OnHead(HeadStatus, Head);
     return;
   }
   const std::size_t Colon = Line.find(':');
-  if (Colon == Line.npos || IsHeadComplete)
+  if (Colon == Line.npos)
     return;
   std::string_view Value = Line.substr(Colon + 1);
   while (!Value.empty() && Value.front() == ' ')
--- a/modules/bw_http/client/http_client_test.cpp
+++ b/modules/bw_http/client/http_client_test.cpp
@@ -7,6 +7,11 @@
 #include <atomic>
 #include <future>
 #include <mutex>
+#include <thread>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace bw;
 using namespace std::chrono_literals;
@@ -28,6 +33,68 @@
   http_server Server;
 };
 
+// Accepts one connection, reads the head of the request and writes the given
+// bytes, then repeats others until the client closes or `MaxBytes` are written.
+class raw_server {
+public:
+  static constexpr std::size_t MaxBytes = mebibytes(96).value();
+
+  explicit raw_server(std::string First, std::string Repeated = {}) {
+    Listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t Size = sizeof Address;
+    auto *Generic = reinterpret_cast<sockaddr *>(&Address);
+    CPPUNIT_ASSERT(::bind(Listener, Generic, Size) == 0 &&
+                   ::listen(Listener, 1) == 0 &&
+                   ::getsockname(Listener, Generic, &Size) == 0);
+    Port = ntohs(Address.sin_port);
+    Thread = std::thread(
+        [this, First = std::move(First), Repeated = std::move(Repeated)] {
+          const int Connection = ::accept(Listener, nullptr, nullptr);
+          std::string Head;
+          char Byte = 0;
+          while (!Head.ends_with("\r\n\r\n") &&
+                 ::recv(Connection, &Byte, 1, 0) == 1)
+            Head += Byte;
+          bool IsOpen = write(Connection, First);
+          while (IsOpen && !Repeated.empty() && Written < MaxBytes)
+            IsOpen = write(Connection, Repeated);
+          ::close(Connection);
+        });
+  }
+  ~raw_server() {
+    ::shutdown(Listener, SHUT_RDWR);
+    Thread.join();
+    ::close(Listener);
+  }
+  raw_server(const raw_server &) = delete;
+  raw_server &operator=(const raw_server &) = delete;
+
+  std::string url() const {
+    return "http://127.0.0.1:" + std::to_string(Port) + "/";
+  }
+
+private:
+  bool write(int Connection, std::string_view Bytes) {
+    while (!Bytes.empty()) {
+      const ssize_t Size =
+          ::send(Connection, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+      if (Size < 0)
+        return false;
+      Written += std::size_t(Size);
+      Bytes.remove_prefix(std::size_t(Size));
+    }
+    return true;
+  }
+
+  int Listener = -1;
+  std::uint16_t Port = 0;
+  std::size_t Written = 0;
+  std::thread Thread;
+};
+
 transfer_result runTransfer(http_client &Client, client_request Request) {
   std::promise<transfer_result> Done;
   Request.OnDone = [&](const transfer_result &Result) {
@@ -52,6 +119,7 @@
   CPPUNIT_TEST(closedClientIsNoticed);
   CPPUNIT_TEST(slowReaderStopsTheSender);
   CPPUNIT_TEST(largeBodyIsRefused);
+  CPPUNIT_TEST(trailersDoNotChangeTheHead);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -257,6 +325,26 @@
 private:
   runtime_clock Clock;
   std::unique_ptr<http_client> Client;
+
+  // Guards against trailer lines that are read as the head of another response.
+  void trailersDoNotChangeTheHead() {
+    for (const char *Trailer : {"X-Time: 12\r\n", "HTTP/1.1 404 Gone: 1\r\n",
+                                "HTTP/1.1 404 Gone: 1\r\nX-Own: 2\r\n"}) {
+      const raw_server Server("HTTP/1.1 100 Continue\r\nX-Early: 1\r\n\r\n"
+                              "HTTP/1.1 200 OK\r\nX-Own: 1\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n"
+                              "2\r\nok\r\n0\r\n" +
+                              std::string(Trailer) + "\r\n");
+      const call_result Result = callHttp({.Url = Server.url()});
+      CPPUNIT_ASSERT(Result.Transfer.Status == transfer_status::Complete);
+      CPPUNIT_ASSERT_EQUAL(200, Result.Transfer.HttpStatus);
+      CPPUNIT_ASSERT_EQUAL(200, Result.Response.Status);
+      CPPUNIT_ASSERT_EQUAL(std::string("1"),
+                           *Result.Response.Headers.find("X-Own"));
+      CPPUNIT_ASSERT(!Result.Response.Headers.find("X-Early"));
+      CPPUNIT_ASSERT(!Result.Response.Headers.find("X-Time"));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_client_test);
