Limit the bytes that a server, the store or another host can send

Cause: blocking calls collected a response without a limit, and the store's client read a list until a page said that it is the last one. A faulty store or host could make the process run out of memory, and end the requests of all its callers. A faulty server could not, but kept the forwarding thread busy with interim responses, responses to other requests or chunk extensions until the deadline; after 256 KiB of a refusal's body the attempt hung until then.

A server connection counts the bytes of an attempt that do not belong to its answer, keeps none of them, and ends the attempt as broken at 4 MiB. The parser limits the framing of a message in proportion to its body. The status pages take 16 KiB.

--- a/modules/bw_emulator/servers/emulated_server.cpp
+++ b/modules/bw_emulator/servers/emulated_server.cpp
@@ -158,6 +158,8 @@
   if (Random.chance(Now.ErrorShare))
     return Request.Exchange->respond(
         {.Status = ServerError, .Headers = Headers, .Body = {}});
+  if (Random.chance(Now.EndlessShare))
+    return answerEndlessly(Request, std::move(Headers));
   std::string Body =
       emulatedBody(Request.Label, Asked.Path, bodySize(Asked.Path));
   if (!Random.chance(Now.TruncateShare))
@@ -167,3 +169,24 @@
   Request.Exchange->write(Body.substr(0, Body.size() / 2));
   Request.Exchange->abort();
 }
+
+void emulated_server::answerEndlessly(const waiting_request &Request,
+                                      http_headers Headers) {
+  constexpr int Ok = 200;
+  constexpr int Unavailable = 503;
+  constexpr std::size_t PartSize = 16'384;
+  const bool IsRefusal = Random.chance(0.5);
+  if (IsRefusal)
+    Headers.add(Options.Headers.NotExecuted, "1");
+  const http_exchange_pointer Exchange = Request.Exchange;
+  Exchange->setOnWritten([Weak = std::weak_ptr(Exchange)](byte_count) {
+    if (const auto Open = Weak.lock())
+      Open->write(std::string(PartSize, 'x'));
+  });
+  // Owns the exchange until its connection closes.
+  Exchange->setOnClosed(
+      [Exchange, IsClosed = Request.IsClosed] { *IsClosed = true; });
+  Exchange->begin(IsRefusal ? Unavailable : Ok, std::move(Headers),
+                  std::nullopt);
+  Exchange->write(std::string(PartSize, 'x'));
+}
--- a/modules/bw_emulator/servers/emulated_server.h
+++ b/modules/bw_emulator/servers/emulated_server.h
@@ -37,6 +37,8 @@
   double DeclineShare = 0;
   /// Answers whose body breaks off halfway.
   double TruncateShare = 0;
+  /// Answers and refusals whose body does not end before the caller closes.
+  double EndlessShare = 0;
   double SlowFactor = 1;
 };
 
@@ -87,6 +89,7 @@
   void decline(const http_exchange_pointer &Exchange, int Status);
   void run(waiting_request Request);
   void answer(const waiting_request &Request, const emulated_faults &Faults);
+  void answerEndlessly(const waiting_request &Request, http_headers Headers);
   void slotFreed();
   emulated_faults faults() const;
 
--- a/modules/bw_emulator/servers/emulated_server_test.cpp
+++ b/modules/bw_emulator/servers/emulated_server_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(answersWithProofAndChecksItsName);
   CPPUNIT_TEST(faultsAreInjected);
   CPPUNIT_TEST(aFullQueueDeclines);
+  CPPUNIT_TEST(endlessAnswersDoNotEnd);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -73,6 +74,15 @@
     CPPUNIT_ASSERT(Declined >= 1);
   }
 
+  // Guards against a soak that believes it sends endless answers.
+  void endlessAnswersDoNotEnd() {
+    start({.Server = backend_server_id("s1")});
+    Server->setFaults({.EndlessShare = 1});
+    for (int Count = 0; Count < 4; ++Count)
+      CPPUNIT_ASSERT(call("s1", "/a").Transfer.Status ==
+                     transfer_status::Broken);
+  }
+
 private:
   void start(emulated_server_options Options) {
     Options.OnArrival = [this](const server_arrival &Each) {
@@ -87,7 +97,8 @@
         {.Method = "GET",
          .Url = "http://127.0.0.1:" + std::to_string(Server->port()) + Path,
          .Headers = {{"Bw-Request-Id", "label"}, {"Bw-Server", Expected}},
-         .Timeout = 500ms});
+         .Timeout = 500ms,
+         .BodyLimit = mebibytes(1)});
   }
 
   runtime_clock Clock;
--- a/modules/bw_forward/parser/http1_parser.cpp
+++ b/modules/bw_forward/parser/http1_parser.cpp
@@ -7,6 +7,16 @@
 
 using namespace bw;
 
+namespace {
+
+// Bytes of a message outside of its body, such as chunk extensions, are limited
+// to this multiple of the head limit and, for each byte of the body, to that of
+// a chunk of one byte with a padded length.
+constexpr std::size_t FramingShareOfHeadLimit = 2;
+constexpr std::size_t FramingPerBodyByte = 16;
+
+} // namespace
+
 struct http1_parser::implementation {
   implementation(http1_side Side, http1_parser_hooks GivenHooks)
       : Hooks(std::move(GivenHooks)) {
@@ -38,6 +48,9 @@
     /// The head is complete; further fields are trailer fields.
     bool IsHeadComplete = false;
     std::size_t HeadSize = 0;
+    std::size_t BodySize = 0;
+    /// All bytes outside of the body.
+    std::size_t FramingSize = 0;
   };
 
   static int onMessageBegin(http_parser *Parser) {
@@ -109,10 +122,20 @@
   }
 
   static int onBody(http_parser *Parser, const char *Data, std::size_t Size) {
+    of(Parser).Message.BodySize += Size;
+    of(Parser).BodyOfBlock += Size;
     of(Parser).Hooks.OnBody({Data, Size});
     return 0;
   }
 
+  /// Adds a block of bytes of the message, and returns false if too many of
+  /// them are framing.
+  bool addToFraming(std::size_t BlockSize) {
+    Message.FramingSize += BlockSize - std::exchange(BodyOfBlock, 0);
+    return Message.FramingSize <= FramingShareOfHeadLimit * HeadLimit +
+                                      FramingPerBodyByte * Message.BodySize;
+  }
+
   static int onMessageComplete(http_parser *Parser) {
     of(Parser).IsInMessage = false;
     of(Parser).IsComplete = true;
@@ -127,6 +150,8 @@
   bool IsInMessage = false;
   bool IsComplete = false;
   bool IsHeadTooBig = false;
+  /// Bytes of the body in the block that is being parsed.
+  std::size_t BodyOfBlock = 0;
   std::size_t HeadLimit = kibibytes(64).value();
 };
 
@@ -150,6 +175,8 @@
                                                 Bytes.data(), Bytes.size());
   if (Self.IsHeadTooBig)
     return {.Status = parse_status::HeadTooBig, .Taken = Taken};
+  if (!Self.addToFraming(Taken))
+    return {.Status = parse_status::Malformed, .Taken = Taken};
   if (Self.IsComplete) {
     Self.Message = {};
     if (HTTP_PARSER_ERRNO(&Self.Parser) == HPE_PAUSED)
--- a/modules/bw_forward/servers/server_connection.cpp
+++ b/modules/bw_forward/servers/server_connection.cpp
@@ -101,6 +101,7 @@
 
 void server_connection::beginRequest() {
   Attempt->IsSent = true;
+  SkippedBytes = 0;
   IsRequestWritten = !Attempt->Exchange->IsStreamed;
   Output +=
       encodeRequest(*Attempt, Options.Headers, Attempt->Deadline - Hooks.Now());
@@ -193,6 +194,10 @@
     } else if (Result.Status != parse_status::NeedsMore) {
       return fail(attempt_outcome::Broken);
     }
+    if (!isReceivingAnswer())
+      SkippedBytes += Result.Taken;
+    if (SkippedBytes > Options.SkipLimit.value())
+      return fail(attempt_outcome::Broken);
   }
   if (!IsOpen || !Attempt || !Attempt->HasHead || Attempt->IsComplete)
     return;
@@ -252,8 +257,13 @@
       Hooks.Now() + std::chrono::seconds(Seconds) - IdleTimeoutMargin;
 }
 
+bool server_connection::isReceivingAnswer() const {
+  return Attempt && Attempt->HasHead && !IsInterim &&
+         Classification == response_class::Usable;
+}
+
 void server_connection::bodyRead(std::string_view Part) {
-  if (Attempt && Attempt->HasHead && !IsInterim)
+  if (isReceivingAnswer())
     Attempt->Body.append(Part);
 }
 
--- a/modules/bw_forward/servers/server_connection.h
+++ b/modules/bw_forward/servers/server_connection.h
@@ -40,6 +40,10 @@
   /// Responses up to this size are buffered completely, so that a truncated one
   /// can be retried. Limits the buffered bytes of longer responses.
   byte_count BufferLimit = kibibytes(256);
+  /// Most bytes received during an attempt that do not belong to its answer:
+  /// interim responses, responses to other requests and bodies that are not
+  /// relayed. A server that sends more is disconnected.
+  byte_count SkipLimit = mebibytes(4);
   /// Ten round trips between data centres. TCP retransmits a lost SYN only
   /// after a second; trying another server is faster.
   duration ConnectTimeout = std::chrono::milliseconds(250);
@@ -85,6 +89,8 @@
   void parse(std::string_view Bytes);
   bool headRead(http1_head Head);
   void bodyRead(std::string_view Part);
+  /// True while the body of the answer that will be relayed is received.
+  bool isReceivingAnswer() const;
   void responseRead(bool HasMoreBytes);
   void peerClosed();
   void fail(attempt_outcome Outcome);
@@ -103,6 +109,8 @@
   /// The idle connection is not reused from this time on.
   time_point ReusableUntil;
   response_class Classification = response_class::Usable;
+  /// Bytes of the current attempt that count towards `SkipLimit`.
+  std::uint64_t SkippedBytes = 0;
   bool IsInterim = false;
   bool IsReading = false;
   bool IsWriting = false;
--- a/modules/bw_gateway_daemon/peers/exchange_fetch_service.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_fetch_service.cpp
@@ -152,7 +152,8 @@
                          .ConnectTimeout = Milliseconds(Limits.Connect),
                          .Timeout = Milliseconds(Limits.Total),
                          .FirstByteTimeout = Milliseconds(Limits.Idle),
-                         .IdleTimeout = Milliseconds(Limits.Idle)});
+                         .IdleTimeout = Milliseconds(Limits.Idle),
+                         .BodyLimit = Limits.Body});
   logFetch(Request, Result);
   bool IsUsable = isFetched(Result);
   try {
--- a/modules/bw_gateway_daemon/status/status_service.cpp
+++ b/modules/bw_gateway_daemon/status/status_service.cpp
@@ -2,11 +2,19 @@
 
 using namespace bw;
 
+namespace {
+
+// The pages are read with GET and take no body.
+constexpr byte_count MaxBody = kibibytes(16);
+
+} // namespace
+
 status_service::status_service(std::string Name, status_service_options Options)
     : service(std::move(Name)) {
   http_server_options ServerOptions;
   ServerOptions.Address = Options.Address;
   ServerOptions.Port = Options.Port;
+  ServerOptions.MaxBody = MaxBody;
   ServerOptions.OnRequest = [Pages = std::move(Options.Pages)](
                                 const http_exchange_pointer &Exchange) {
     const auto Page = Pages.find(Exchange->request().Path);
--- a/modules/bw_http/client/easy_transfer.cpp
+++ b/modules/bw_http/client/easy_transfer.cpp
@@ -9,6 +9,16 @@
 
 using namespace bw;
 
+namespace {
+
+// Of all heads of a response, interim ones included, and of its trailer.
+// libcurl limits single lines only.
+constexpr byte_count HeadLimit = kibibytes(256);
+// Makes libcurl end the transfer as broken.
+constexpr std::size_t AbortTransfer = 0;
+
+} // namespace
+
 easy_transfer::easy_transfer(client_request GivenRequest)
     : Request(std::move(GivenRequest)), Handle(curl_easy_init()) {
   if (Handle == nullptr)
@@ -82,6 +92,9 @@
   const std::size_t Total = Size * Count;
   auto *Transfer = static_cast<easy_transfer *>(Self);
   Transfer->noteActivity();
+  Transfer->HeadSize += Total;
+  if (Transfer->HeadSize > HeadLimit.value())
+    return AbortTransfer;
   Transfer->takeHeaderLine({Data, Total});
   return Total;
 }
@@ -123,6 +136,10 @@
   const std::size_t Total = Size * Count;
   auto *Transfer = static_cast<easy_transfer *>(Self);
   Transfer->noteActivity();
+  Transfer->BodySize += Total;
+  const std::optional<byte_count> &Limit = Transfer->Request.BodyLimit;
+  if (Limit && Transfer->BodySize > Limit->value())
+    return AbortTransfer;
   if (!Transfer->Request.OnBody({Data, Total}))
     curl_easy_pause(Transfer->Handle, CURLPAUSE_RECV);
   return Total;
--- a/modules/bw_http/client/easy_transfer.h
+++ b/modules/bw_http/client/easy_transfer.h
@@ -47,6 +47,9 @@
   int HeadStatus = 0;
   http_headers Head;
   bool IsHeadComplete = false;
+  /// Bytes of all heads of the response and of its trailer.
+  std::size_t HeadSize = 0;
+  std::size_t BodySize = 0;
   bool HasResponse = false;
   /// When the transfer began, or last received a part of the response.
   std::chrono::steady_clock::time_point LastActivity =
--- a/modules/bw_http/client/http_call.cpp
+++ b/modules/bw_http/client/http_call.cpp
@@ -49,6 +49,8 @@
 bw::callHttpWith(client_request Request,
                  const std::function<void(const easy_transfer &)> &Prepare) {
   call_result Result;
+  if (!Request.BodyLimit)
+    Request.BodyLimit = DefaultBodyLimit;
   Request.OnHead = [&](int Status, const http_headers &Headers) {
     Result.Response.Status = Status;
     Result.Response.Headers = Headers;
--- a/modules/bw_http/client/http_call.h
+++ b/modules/bw_http/client/http_call.h
@@ -11,6 +11,9 @@
   http_response Response;
 };
 
+/// Limit on the body of a blocking call, which keeps it in memory.
+constexpr byte_count DefaultBodyLimit = mebibytes(64);
+
 /// Sends one request and waits for its whole response, on the calling thread.
 /// The request's hooks are not used.
 call_result callHttp(client_request Request);
--- a/modules/bw_http/client/http_client.h
+++ b/modules/bw_http/client/http_client.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -53,6 +54,9 @@
   /// parts; 0 means no limit. Used by blocking calls only.
   std::chrono::milliseconds FirstByteTimeout{0};
   std::chrono::milliseconds IdleTimeout{0};
+  /// Longest body of the response; a longer one breaks the transfer. Without a
+  /// value, blocking calls use `DefaultBodyLimit`, and others have no limit.
+  std::optional<byte_count> BodyLimit = {};
 
   /// All hooks are called on the client's thread and must not block.
   std::function<void(int Status, const http_headers &)> OnHead =
--- a/modules/bw_http/client/http_client_test.cpp
+++ b/modules/bw_http/client/http_client_test.cpp
@@ -120,6 +120,7 @@
   CPPUNIT_TEST(slowReaderStopsTheSender);
   CPPUNIT_TEST(largeBodyIsRefused);
   CPPUNIT_TEST(trailersDoNotChangeTheHead);
+  CPPUNIT_TEST(endlessResponsesAreBroken);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -345,6 +346,40 @@
       CPPUNIT_ASSERT(!Result.Response.Headers.find("X-Time"));
     }
   }
+
+  // Guards against memory that grows with a response without an end, such as
+  // one of a faulty store or host.
+  void endlessResponsesAreBroken() {
+    const std::string Ok = "HTTP/1.1 200 OK\r\n";
+    const std::string Filler(10'000, 'x');
+    const struct {
+      const char *Failure;
+      std::string First;
+      std::string Repeated;
+    } Cases[] = {
+        {"body", Ok + "\r\n", Filler},
+        {"body with a length", Ok + "Content-Length: 99999999999\r\n\r\n",
+         Filler},
+        {"chunks", Ok + "Transfer-Encoding: chunked\r\n\r\n",
+         "2710\r\n" + Filler + "\r\n"},
+        {"fields", Ok, "X-Filler: " + Filler + "\r\n"},
+        {"one field", Ok + "X-Filler: ", Filler},
+        {"interim responses", "", "HTTP/1.1 100 Continue\r\nX: 1\r\n\r\n"},
+        {"trailer", Ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
+         "X-Filler: " + Filler + "\r\n"}};
+    for (const auto &Case : Cases) {
+      std::string Block;
+      while (Block.size() < kibibytes(64).value())
+        Block += Case.Repeated;
+      const raw_server Server(Case.First, Block);
+      const call_result Result =
+          callHttp({.Url = Server.url(), .BodyLimit = mebibytes(1)});
+      CPPUNIT_ASSERT_MESSAGE(Case.Failure,
+                             Result.Transfer.Status == transfer_status::Broken);
+      CPPUNIT_ASSERT_MESSAGE(Case.Failure, Result.Response.Body.size() <=
+                                               mebibytes(1).value());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_client_test);
--- a/tests/harness/child_process.cpp
+++ b/tests/harness/child_process.cpp
@@ -114,6 +114,14 @@
   return Status;
 }
 
+bw::byte_count child_process::residentMemory() const {
+  std::ifstream File("/proc/" + std::to_string(Id) + "/statm");
+  std::uint64_t Total = 0;
+  std::uint64_t Resident = 0;
+  File >> Total >> Resident;
+  return bw::byte_count(Resident * std::uint64_t(::sysconf(_SC_PAGESIZE)));
+}
+
 std::string child_process::output() const {
   std::ifstream File(OutputPath);
   std::ostringstream Text;
--- a/tests/harness/child_process.h
+++ b/tests/harness/child_process.h
@@ -1,6 +1,8 @@
 #ifndef TESTS_HARNESS_CHILD_PROCESS_H
 #define TESTS_HARNESS_CHILD_PROCESS_H
 
+#include "bw_core/ids/units.h"
+
 #include <sys/types.h>
 
 #include <chrono>
@@ -35,6 +37,9 @@
   std::optional<int>
   waitForEnd(std::chrono::milliseconds Limit = std::chrono::seconds(20));
 
+  /// Resident memory; 0 once it has ended.
+  byte_count residentMemory() const;
+
   /// Standard output and standard error so far.
   std::string output() const;
   /// Waits for the line `<Key> <value>` and returns the value.
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr int ConnectMilliseconds = 1000;
+// A caller gives up on an answer that is longer.
+constexpr byte_count LongestBody = mebibytes(8);
 
 int milliseconds(duration Time) {
   return static_cast<int>(std::max<std::int64_t>(
@@ -128,7 +130,8 @@
       Result.IsComplete = Parsed.Status == parse_status::Complete;
       // Bytes behind the answer, or bytes that are none, end the connection.
       KeepsOpen = KeepsOpen && Parsed.Taken == Size;
-      if (Parsed.Status == parse_status::Malformed)
+      Result.IsGivenUp = Result.Body.size() > LongestBody.value();
+      if (Parsed.Status == parse_status::Malformed || Result.IsGivenUp)
         break;
     }
   }
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -44,6 +44,8 @@
 // An entry of a dead server lapses after three heartbeats.
 constexpr duration LapseTime = 4500ms;
 constexpr duration MeanFaultGap = 900ms;
+// What the platform allows its smallest hosts.
+constexpr byte_count HostMemory = mebibytes(160);
 constexpr duration ConfigurationGap = 2500ms;
 // Enough requests that a server of five gets some in two seconds by chance.
 constexpr std::uint64_t LongestThought = 60;
@@ -381,6 +383,8 @@
       Faults.HangShare = 0.5;
     else if (Kind == 2)
       Faults.DeclineShare = 0.6;
+    else if (Kind == 3 && mixHash(Options.Seed, this->Faults) % 2 == 0)
+      Faults.EndlessShare = 0.3;
     else if (Kind == 3)
       Faults.TruncateShare = 0.4;
     else
@@ -582,8 +586,19 @@
     Checker.checkRecovery(End - 3s, End - 1s);
   }
 
+  // Answers of any size must not let a host outgrow its memory.
+  void checkMemory(const host_entry &Host) {
+    const byte_count Resident = Host.Process->residentMemory();
+    if (Resident > HostMemory)
+      Checker.report("MEMORY",
+                     Host.Id.value() + " has " +
+                         std::to_string(Resident.value()) + " bytes resident",
+                     Clock.now());
+  }
+
   void noteUnexpectedEnds() {
     for (const auto &Each : Hosts) {
+      checkMemory(*Each);
       if (Each->IsTaken || Each->Process->isRunning())
         continue;
       Checker.report("EXIT", Each->Id.value() + " ended by itself",
