Log why a server's response cannot be read

Cause: an attempt that ended because of malformed, endless or foreign bytes was logged as broken only, like a reset connection.

Change: BW1103 names the request, the server and the reason.

--- a/modules/bw_forward/servers/server_connection.h
+++ b/modules/bw_forward/servers/server_connection.h
@@ -94,6 +94,10 @@
   void responseRead(bool HasMoreBytes);
   void peerClosed();
   void fail(attempt_outcome Outcome);
+  /// Ends the attempt because what the server sent cannot be read.
+  void failUnreadable(const char *Reason);
+  /// The caller's id of the current request.
+  std::string requestLabel() const;
   void updateIdleDeadline(const http1_head &Head);
 
   asio::ip::tcp::socket Socket;
--- a/modules/bw_gateway_daemon/bw_gateway_daemon.h
+++ b/modules/bw_gateway_daemon/bw_gateway_daemon.h
@@ -1,8 +1,8 @@
 /// \file
 /// Services of a daemon that forwards requests to backend servers itself: the
 /// decide service around the gateway engine, the followers of the platform's
-/// configuration and server list, the exchange with other hosts, readiness and
-/// metrics.
+/// configuration and server list, the exchange with other hosts, readiness,
+/// metrics and the schedule of a planned stop.
 ///
 /// Depends on: bw_core, bw_kernel, bw_gateway, bw_forward, bw_http, bw_reports.
 #ifndef BW_GATEWAY_DAEMON_BW_GATEWAY_DAEMON_H
