Recognise customers by their keys

Cause: where a configuration names customers, requests were passed on with their keys, under any customer name that the caller chose, and without a check.

Change: module bw_customers holds key digests and the directory of customers; the adapter digests keys while it decodes a configuration, and hosts exchange digests only. A request without a known key gets 401 unless its route is public; servers get the customer's name in place of key and caller's field. A customer's priority goes before its route's. runtime_clock gains bootNow, for bounds that hold while a host is suspended.

--- a/modules/bw_core/ids/identifiers.h
+++ b/modules/bw_core/ids/identifiers.h
@@ -16,6 +16,8 @@
 /// One running backend server (an instance of a service).
 using backend_server_id = strong_text<struct backend_server_id_tag>;
 using caller_id = strong_text<struct caller_id_tag>;
+/// An organisation whose callers share a key and an allowance.
+using customer_id = strong_text<struct customer_id_tag>;
 using operator_id = strong_text<struct operator_id_tag>;
 using order_id = strong_text<struct order_id_tag>;
 using record_id = strong_text<struct record_id_tag>;
--- a/modules/bw_core/ids/units.h
+++ b/modules/bw_core/ids/units.h
@@ -11,6 +11,9 @@
 /// A share between 0 and 1.
 using ratio = strong_number<struct ratio_tag, double>;
 
+/// Requests per second.
+using request_rate = strong_number<struct request_rate_tag, double>;
+
 constexpr byte_count kibibytes(std::uint64_t Count) {
   return byte_count(Count * 1024);
 }
--- /dev/null
+++ b/modules/bw_customers/directory/customer_directory.cpp
@@ -0,0 +1,27 @@
+#include "bw_customers/directory/customer_directory.h"
+
+using namespace bw;
+
+customer_directory::customer_directory(std::vector<customer> Given)
+    : Customers(std::move(Given)) {
+  for (std::size_t Index = 0; Index < Customers.size(); ++Index) {
+    const customer &Each = Customers[Index];
+    if (!ByName.emplace(Each.Name, Index).second)
+      throw customer_conflict_error(Each.Name);
+    for (const key_digest &Key : Each.Keys) {
+      const auto [Found, IsNew] = ByKey.emplace(Key, Index);
+      if (!IsNew && Found->second != Index)
+        throw customer_conflict_error(Each.Name);
+    }
+  }
+}
+
+const customer *customer_directory::find(const key_digest &Key) const {
+  const auto Found = ByKey.find(Key);
+  return Found == ByKey.end() ? nullptr : &Customers[Found->second];
+}
+
+const customer *customer_directory::find(const customer_id &Name) const {
+  const auto Found = ByName.find(Name);
+  return Found == ByName.end() ? nullptr : &Customers[Found->second];
+}
--- a/modules/bw_forward/callers/caller_connection.cpp
+++ b/modules/bw_forward/callers/caller_connection.cpp
@@ -21,12 +21,16 @@
     return "OK";
   case 400:
     return "Bad Request";
+  case 401:
+    return "Unauthorized";
   case 404:
     return "Not Found";
   case 408:
     return "Request Timeout";
   case 413:
     return "Content Too Large";
+  case 429:
+    return "Too Many Requests";
   case 431:
     return "Request Header Fields Too Large";
   case 501:
--- a/modules/bw_forward/servers/message_encoding.cpp
+++ b/modules/bw_forward/servers/message_encoding.cpp
@@ -1,3 +1,4 @@
+#include "bw_forward/callers/authorization_field.h"
 #include "bw_forward/servers/server_attempt.h"
 
 #include <algorithm>
@@ -64,13 +65,17 @@
   addField(Out, "Host", Head.Headers.find("Host").value_or(""));
   addEndToEndFields(Out, Head.Headers, [&](std::string_view Name) {
     return equalsIgnoringCase(Name, Names.Deadline) ||
-           equalsIgnoringCase(Name, Names.ExpectedServer);
+           equalsIgnoringCase(Name, Names.ExpectedServer) ||
+           (Attempt.Customer && (equalsIgnoringCase(Name, AuthorizationField) ||
+                                 equalsIgnoringCase(Name, Names.Customer)));
   });
   const auto Milliseconds =
       std::chrono::duration_cast<std::chrono::milliseconds>(TimeLeft).count();
   addField(Out, Names.Deadline,
            std::to_string(std::max<std::int64_t>(Milliseconds, 1)));
   addField(Out, Names.ExpectedServer, Attempt.Server.value());
+  if (Attempt.Customer && !Attempt.Customer->Name.empty())
+    addField(Out, Names.Customer, Attempt.Customer->Name.value());
   const bool MayHaveBody = Head.ContentLength || Head.IsChunked;
   if (Exchange.IsStreamed && !Head.ContentLength)
     addField(Out, "Transfer-Encoding", "chunked");
--- a/modules/bw_forward/servers/relay_headers.h
+++ b/modules/bw_forward/servers/relay_headers.h
@@ -18,6 +18,8 @@
   std::string Deadline = "Bw-Deadline-Ms";
   /// The backend server that the request is intended for; others decline it.
   std::string ExpectedServer = "Bw-Server";
+  /// In requests to servers: the name of the customer that sent the request.
+  std::string Customer = "Bw-Customer";
   /// In responses: the request was not executed.
   std::string NotExecuted = "Bw-Not-Run";
   /// In successful responses: proves that the server generated them. Empty if
--- a/modules/bw_forward/servers/server_attempt.h
+++ b/modules/bw_forward/servers/server_attempt.h
@@ -3,6 +3,7 @@
 
 #include "bw_forward/callers/caller_exchange.h"
 #include "bw_forward/servers/response_classification.h"
+#include "bw_gateway/messages/gateway_commands.h"
 #include "bw_gateway/messages/gateway_events.h"
 
 #include <memory>
@@ -24,6 +25,8 @@
   server_address Address;
   /// When the server should stop processing the request.
   time_point Deadline;
+  /// Set if the configuration names customers.
+  std::optional<forwarded_customer> Customer;
   exchange_pointer Exchange;
   std::shared_ptr<server_connection> Connection;
 
--- a/modules/bw_forward/service/forward_service.cpp
+++ b/modules/bw_forward/service/forward_service.cpp
@@ -1,5 +1,6 @@
 #include "bw_forward/service/forward_service.h"
 
+#include "bw_forward/callers/authorization_field.h"
 #include "bw_forward/callers/caller_connection.h"
 #include "bw_forward/servers/server_connection.h"
 #include "bw_http/server/http_server.h"
@@ -38,6 +39,10 @@
   switch (Reason) {
   case refusal_reason::NoRoute:
     return 404;
+  case refusal_reason::Unauthenticated:
+    return 401;
+  case refusal_reason::OverAllowance:
+    return 429;
   case refusal_reason::Unknown:
     return 502;
   case refusal_reason::Timeout:
@@ -47,6 +52,7 @@
   case refusal_reason::NotExecuted:
   case refusal_reason::Stopping:
   case refusal_reason::Overloaded:
+  case refusal_reason::ConfigurationStale:
     return 503;
   }
   return 502;
@@ -189,7 +195,8 @@
         .VirtualHost = std::string(withoutPort(Host)),
         .Path = Head.Target.substr(0, Head.Target.find('?')),
         .CallerTimeout = callerTimeout(Head),
-        .IsReplayable = !Exchange->IsStreamed};
+        .IsReplayable = !Exchange->IsStreamed,
+        .Key = readPresentedKey(Head.Headers)};
     Open.emplace(Exchange->Number,
                  open_request{.Exchange = Exchange, .Attempts = {}});
     if (!Decide->tryPush(std::move(Event)))
@@ -256,6 +263,7 @@
     Attempt->Server = Command.Server;
     Attempt->Address = Command.Address;
     Attempt->Deadline = Clock.now() + Command.TimeLeft;
+    Attempt->Customer = Command.Customer;
     Attempt->Exchange = Found->second.Exchange;
     Found->second.Attempts.push_back(Attempt);
     if (auto Connection = takeIdle(Command.Server)) {
@@ -451,6 +459,8 @@
       Answer +=
           "Retry-After: " + Options.Headers.RetryAfter(*Command.RetryAfter) +
           "\r\n";
+    if (Command.Reason == refusal_reason::Unauthenticated)
+      Answer += "WWW-Authenticate: Bearer\r\n";
     if (Exchange->ClosesConnection)
       Answer += "Connection: close\r\n";
     Exchange->Output += Answer + "Content-Length: 0\r\n\r\n";
--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -100,11 +100,18 @@
   Request.Configuration = Configuration;
   Request.Arrived = Now;
   Request.IsReplayable = Event.IsReplayable;
+  Request.Key = Event.Key;
   if (!Configuration)
     return refuse(Found, refusal_reason::NoConfiguration, Now, Out);
   Request.Route = Routes.find(Event.VirtualHost, Event.Path);
   if (Request.Route == nullptr)
     return refuse(Found, refusal_reason::NoRoute, Now, Out);
+  const customer_decision Admission =
+      Customers.admit(Request.Key, *Request.Route);
+  Request.Customer = Admission.Customer;
+  Request.Priority = Admission.Priority;
+  if (Admission.Refusal)
+    return refuse(Found, *Admission.Refusal, Now, Out, Admission.RetryAfter);
   duration Wait = Event.CallerTimeout.value_or(Options.DefaultTimeout);
   if (Request.Route->Timeout)
     Wait = std::min(Wait, *Request.Route->Timeout);
@@ -157,7 +164,8 @@
                               .Attempt = Attempt,
                               .Server = Server->Server,
                               .Address = Server->Address,
-                              .TimeLeft = Request.Deadline - Now});
+                              .TimeLeft = Request.Deadline - Now,
+                              .Customer = Request.Customer});
   schedule(Request, {.At = Now + slowAfter(*Request.Route),
                      .Request = Number,
                      .Attempt = Attempt,
@@ -398,13 +406,11 @@
 }
 
 void gateway_engine::refuse(request_map::iterator Found, refusal_reason Reason,
-                            time_point Now, commands &Out) {
+                            time_point Now, commands &Out,
+                            std::optional<duration> RetryAfter) {
   request_state &Request = Found->second;
   cancelOpen(Found->first, Request, Out);
-  std::optional<duration> RetryAfter;
-  const bool IsNotExecuted =
-      Reason != refusal_reason::Unknown && Reason != refusal_reason::Timeout;
-  if (IsNotExecuted && Reason != refusal_reason::NoRoute)
+  if (!RetryAfter && mayComeBack(Reason))
     RetryAfter = retryAfter(Request.Service, Reason, Now);
   Out.push_back(refuse_request{
       .Request = Found->first, .Reason = Reason, .RetryAfter = RetryAfter});
@@ -412,6 +418,18 @@
   finish(Found);
 }
 
+bool gateway_engine::mayComeBack(refusal_reason Reason) {
+  switch (Reason) {
+  case refusal_reason::Unknown:
+  case refusal_reason::Timeout:
+  case refusal_reason::NoRoute:
+  case refusal_reason::Unauthenticated:
+    return false;
+  default:
+    return true;
+  }
+}
+
 // Not before a server accepts requests again, if all of them restrain requests.
 duration gateway_engine::retryAfter(const service_id &Service,
                                     refusal_reason Reason, time_point Now) {
@@ -546,6 +564,7 @@
   Options.Observer.OnConfiguration(version(), Event.Configuration->Version);
   Configuration = Event.Configuration;
   Routes = host_routes(*Configuration);
+  Customers.setConfiguration(Configuration);
   Out.push_back(limits_changed{Configuration->Limits});
 }
 
@@ -604,6 +623,9 @@
     Decision.TimeLeft = Request.Deadline - Now;
   }
   Decision.Service = Request.Service;
+  if (Request.Customer)
+    Decision.Customer = Request.Customer->Name;
+  Decision.Key = Request.Key.Presence;
   Decision.Age = Now - Request.Arrived;
   Decision.Version =
       Request.Configuration ? Request.Configuration->Version : config_version();
--- a/modules/bw_gateway/engine/gateway_engine.h
+++ b/modules/bw_gateway/engine/gateway_engine.h
@@ -2,6 +2,7 @@
 #define BW_GATEWAY_ENGINE_GATEWAY_ENGINE_H
 
 #include "bw_core/random/random_source.h"
+#include "bw_gateway/customers/customer_gate.h"
 #include "bw_gateway/engine/gateway_log.h"
 #include "bw_gateway/messages/gateway_commands.h"
 #include "bw_gateway/messages/gateway_events.h"
@@ -100,6 +101,10 @@
     time_point Arrived;
     time_point Deadline;
     bool IsReplayable = true;
+    presented_key Key;
+    std::optional<forwarded_customer> Customer;
+    /// 0 is the most urgent.
+    std::uint32_t Priority = 0;
     /// An attempt may have been executed.
     bool MayHaveRun = false;
     /// Set while an answer is being relayed.
@@ -146,8 +151,10 @@
                       attempt_outcome Outcome) const;
   void relay(request_map::iterator Found, const held_answer &Given,
              time_point Now, commands &Out);
+  /// Without a `RetryAfter`, the usual one for the reason is sent.
   void refuse(request_map::iterator Found, refusal_reason Reason,
-              time_point Now, commands &Out);
+              time_point Now, commands &Out,
+              std::optional<duration> RetryAfter = std::nullopt);
   void endWithoutRetry(request_map::iterator Found, time_point Now,
                        commands &Out);
   void schedule(request_state &Request, timer Timer);
@@ -168,6 +175,8 @@
   void endOpenRequests(time_point Now, commands &Out);
   duration slowAfter(const gateway_route &Route) const;
   duration hedgeAfter(const gateway_route &Route) const;
+  /// True if the request was not executed and a later one may be served.
+  static bool mayComeBack(refusal_reason Reason);
   duration retryAfter(const service_id &Service, refusal_reason Reason,
                       time_point Now);
   double budgetCapacity() const;
@@ -181,6 +190,7 @@
   server_pool Pool;
   std::shared_ptr<const gateway_configuration> Configuration;
   host_routes Routes;
+  customer_gate Customers;
   std::uint32_t Hosts;
   request_map Requests;
   std::set<timer> Timers;
--- a/modules/bw_gateway/engine/gateway_log.h
+++ b/modules/bw_gateway/engine/gateway_log.h
@@ -29,6 +29,9 @@
   route_id Route;
   execution_rule Execution = execution_rule::AtMostOnce;
   service_id Service;
+  /// Empty if it is not known or the configuration names no customers.
+  customer_id Customer;
+  key_presence Key = key_presence::Absent;
   backend_server_id Server;
   attempt_number Attempt;
   int Status = 0;
--- a/modules/bw_gateway/messages/gateway_commands.cpp
+++ b/modules/bw_gateway/messages/gateway_commands.cpp
@@ -14,6 +14,12 @@
     return "stopping";
   case refusal_reason::Overloaded:
     return "overloaded";
+  case refusal_reason::Unauthenticated:
+    return "unauthenticated";
+  case refusal_reason::OverAllowance:
+    return "over_allowance";
+  case refusal_reason::ConfigurationStale:
+    return "configuration_stale";
   case refusal_reason::Unknown:
     return "unknown";
   case refusal_reason::Timeout:
--- a/modules/bw_gateway/messages/gateway_commands.h
+++ b/modules/bw_gateway/messages/gateway_commands.h
@@ -9,6 +9,16 @@
 
 namespace bw {
 
+/// What a server learns of the customer that sent a request. The caller's
+/// credentials and customer field are not passed on.
+struct forwarded_customer {
+  /// Empty for a request without a known key on a public route.
+  customer_id Name;
+
+  friend bool operator==(const forwarded_customer &,
+                         const forwarded_customer &) = default;
+};
+
 /// Sends the request to a server.
 struct start_attempt {
   request_number Request;
@@ -17,6 +27,10 @@
   server_address Address;
   /// Time left until the deadline of the request.
   duration TimeLeft{};
+  /// Set if the configuration names customers.
+  std::optional<forwarded_customer> Customer = {};
+  /// The request must not be sent from this time on.
+  std::optional<boot_time_point> SendBefore = {};
 };
 
 /// Cancels an attempt whose answer is no longer needed.
@@ -39,8 +53,13 @@
   NotExecuted,     ///< Not executed: every server that was tried declined.
   Stopping,        ///< Not executed: this host is shutting down.
   Overloaded,      ///< Not executed: this host is at its limit.
-  Unknown,         ///< May have been executed; the answer was lost.
-  Timeout,         ///< May have been executed; the deadline passed.
+  Unauthenticated, ///< Not executed: no customer has the key.
+  OverAllowance,   ///< Not executed: the customer has used its allowance.
+  /// Not executed: the key may have been withdrawn in a configuration that this
+  /// host does not know.
+  ConfigurationStale,
+  Unknown, ///< May have been executed; the answer was lost.
+  Timeout, ///< May have been executed; the deadline passed.
 };
 
 std::string_view refusalName(refusal_reason Reason);
--- a/modules/bw_gateway/messages/gateway_configuration.h
+++ b/modules/bw_gateway/messages/gateway_configuration.h
@@ -5,7 +5,10 @@
 #include "bw_core/ids/time.h"
 #include "bw_core/ids/units.h"
 
+#include "bw_customers/directory/customer_directory.h"
+
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -39,6 +42,8 @@
   std::uint32_t MaxAttempts = 1;
   /// 0 is the most urgent.
   std::uint32_t Priority = 0;
+  /// Requests need no key of a customer.
+  bool IsPublic = false;
 };
 
 /// Size and time limits on requests of callers.
@@ -53,6 +58,8 @@
   config_version Version;
   caller_limits Limits;
   std::vector<gateway_route> Routes;
+  /// Null if the configuration names no customers; requests then need no key.
+  std::shared_ptr<const customer_directory> Customers = {};
 };
 
 } // namespace bw
--- a/modules/bw_gateway/messages/gateway_events.h
+++ b/modules/bw_gateway/messages/gateway_events.h
@@ -3,6 +3,7 @@
 
 #include "bw_core/ids/identifiers.h"
 #include "bw_core/ids/time.h"
+#include "bw_customers/keys/presented_key.h"
 #include "bw_gateway/messages/gateway_configuration.h"
 #include "bw_membership/servers/server_directory.h"
 
@@ -35,6 +36,7 @@
   std::optional<duration> CallerTimeout;
   /// The whole body is buffered and can be sent again to another server.
   bool IsReplayable = true;
+  presented_key Key = {};
 };
 
 enum class attempt_outcome : std::uint8_t {
--- a/modules/bw_gateway_daemon/log/decision_log.cpp
+++ b/modules/bw_gateway_daemon/log/decision_log.cpp
@@ -69,6 +69,8 @@
                      {"route", Decision.Route.value()},
                      {"service", Decision.Service.value()},
                      {"reason", std::string(refusalName(Decision.Reason))},
+                     {"customer", Decision.Customer.value()},
+                     {"key", std::string(presenceName(Decision.Key))},
                      {"age_ms", Age},
                      {"time_left_ms", optionalMilliseconds(Decision.TimeLeft)},
                      {"version", std::to_string(Decision.Version.value())}});
--- a/modules/bw_gateway_daemon/peers/exchange_messages.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_messages.cpp
@@ -58,6 +58,7 @@
       microseconds(Route.TargetLatency.value_or(duration::zero())));
   Result.set_max_attempts(Route.MaxAttempts);
   Result.set_priority(Route.Priority);
+  Result.set_is_public(Route.IsPublic);
   return Result;
 }
 
@@ -152,7 +153,8 @@
       .Timeout = optionalDuration(Route.timeout()),
       .TargetLatency = optionalDuration(Route.target_latency()),
       .MaxAttempts = Route.max_attempts(),
-      .Priority = Route.priority()};
+      .Priority = Route.priority(),
+      .IsPublic = Route.is_public()};
   for (const auto &Each : Route.destinations())
     Result.Destinations.push_back(
         {.Service = service_id(Each.service()), .Weight = Each.weight()});
@@ -161,6 +163,53 @@
   return Result;
 }
 
+exchange::customer_record encodeCustomer(const customer &Customer) {
+  exchange::customer_record Result;
+  Result.set_name(Customer.Name.value());
+  for (const key_digest &Each : Customer.Keys)
+    Result.add_key_digests(std::string(Each.view()));
+  if (Customer.Priority)
+    Result.set_priority(*Customer.Priority);
+  Result.set_rate(Customer.Allowance.Rate.value());
+  Result.set_burst(Customer.Allowance.Burst);
+  return Result;
+}
+
+bool isCount(double Value) { return Value >= 0 && std::isfinite(Value); }
+
+customer decodeCustomer(const exchange::customer_record &Record) {
+  if (!isCount(Record.rate()) || !isCount(Record.burst()))
+    throw exchange_error("allowance of a customer is out of range");
+  customer Result{.Name = customer_id(Record.name()),
+                  .Keys = {},
+                  .Priority = {},
+                  .Allowance = {.Rate = request_rate(Record.rate()),
+                                .Burst = Record.burst()}};
+  if (Record.has_priority())
+    Result.Priority = Record.priority();
+  for (const std::string &Each : Record.key_digests()) {
+    const auto Digest = key_digest::fromBytes(Each);
+    if (!Digest)
+      throw exchange_error("digest of a key has another size than expected");
+    Result.Keys.push_back(*Digest);
+  }
+  return Result;
+}
+
+std::shared_ptr<const customer_directory>
+decodeCustomers(const exchange::configuration_record &Record) {
+  if (!Record.names_customers())
+    return nullptr;
+  std::vector<customer> Result;
+  for (const auto &Each : Record.customers())
+    Result.push_back(decodeCustomer(Each));
+  try {
+    return std::make_shared<const customer_directory>(std::move(Result));
+  } catch (const customer_conflict_error &Conflict) {
+    throw exchange_error(Conflict.what());
+  }
+}
+
 } // namespace
 
 namespace {
@@ -335,6 +384,10 @@
   Result.set_idle_timeout(microseconds(Limits.IdleTimeout));
   for (const gateway_route &Each : Configuration.Routes)
     *Result.add_routes() = encodeRoute(Each);
+  Result.set_names_customers(Configuration.Customers != nullptr);
+  if (Configuration.Customers)
+    for (const customer &Each : Configuration.Customers->customers())
+      *Result.add_customers() = encodeCustomer(Each);
   return Result.SerializeAsString();
 }
 
@@ -350,6 +403,7 @@
       .IdleTimeout = std::chrono::microseconds(Record.idle_timeout())};
   for (const auto &Each : Record.routes())
     Result->Routes.push_back(decodeRoute(Each));
+  Result->Customers = decodeCustomers(Record);
   return Result;
 }
 
--- a/modules/bw_kernel/clock/runtime_clock.cpp
+++ b/modules/bw_kernel/clock/runtime_clock.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <ctime>
 
 using namespace bw;
 
@@ -16,6 +17,17 @@
   return time_point(std::chrono::steady_clock::now().time_since_epoch());
 }
 
+// Time for which the host was suspended since its start. The clocks are read
+// one after the other, so the difference can be too small by a few
+// microseconds.
+duration systemSuspension() {
+  timespec Now{};
+  clock_gettime(CLOCK_BOOTTIME, &Now);
+  const duration Boot =
+      std::chrono::seconds(Now.tv_sec) + std::chrono::nanoseconds(Now.tv_nsec);
+  return std::max(Boot - systemNow().time_since_epoch(), duration::zero());
+}
+
 } // namespace
 
 time_point runtime_clock::nowLocked() const {
@@ -27,9 +39,22 @@
   return nowLocked();
 }
 
+boot_time_point runtime_clock::bootNow() const {
+  const std::lock_guard Guard(Mutex);
+  const duration Suspension = Paused ? PausedSuspension : systemSuspension();
+  return boot_time_point(nowLocked().time_since_epoch() + Suspension);
+}
+
+void runtime_clock::suspend(duration Step) {
+  const std::lock_guard Guard(Mutex);
+  assert(Paused && Step >= duration::zero());
+  PausedSuspension += Step;
+}
+
 void runtime_clock::pause() {
   const std::lock_guard Guard(Mutex);
   PausedAt = nowLocked();
+  PausedSuspension = systemSuspension();
   Paused = true;
 }
 
--- a/modules/bw_kernel/clock/runtime_clock.h
+++ b/modules/bw_kernel/clock/runtime_clock.h
@@ -20,6 +20,13 @@
 
   time_point now() const;
 
+  /// Returns the time including the time for which the host was suspended.
+  boot_time_point bootNow() const;
+
+  /// Lets `bootNow` of a paused clock move on while `now` stands still, as
+  /// during a suspension of the host.
+  void suspend(duration Step);
+
   /// Stops the time until `advance` or `resume` is called.
   void pause();
 
@@ -42,6 +49,8 @@
   bool Paused = false;
   time_point PausedAt{};
   duration Offset{};
+  /// Time that `bootNow` is ahead of `now`, while paused.
+  duration PausedSuspension{};
   std::multiset<std::condition_variable *> Waiters;
 };
 
