Refuse requests with blanks in field names

Cause: http_parser, as Debian builds it, accepts "Authorization : Bearer KEY". The field's name then ends in a blank, so the key was not found, the request counted as one without a key, and on a public route the key reached the server; a lenient server would also have read a customer's name that the caller made up.

Change: a request head with a blank in a field name is malformed (400), as RFC 9112 asks. Responses are read as before.

--- a/modules/bw_forward/parser/http1_parser.cpp
+++ b/modules/bw_forward/parser/http1_parser.cpp
@@ -15,6 +15,11 @@
 constexpr std::size_t FramingShareOfHeadLimit = 2;
 constexpr std::size_t FramingPerBodyByte = 16;
 
+// http_parser accepts blanks in the names of fields. Servers may drop them and
+// thus read a field that this host took for another one, so such requests are
+// malformed (RFC 9112, 5.1).
+bool hasBlank(std::string_view Name) { return Name.find(' ') != Name.npos; }
+
 } // namespace
 
 struct http1_parser::implementation {
@@ -81,6 +86,8 @@
       if (Self.Message.HasValue)
         Self.addHeader();
       Self.Message.Field.append(Data, Size);
+      if (Parser->type == HTTP_REQUEST && hasBlank({Data, Size}))
+        return 1;
     }
     return Self.addToHeadSize(Size);
   }
--- a/modules/bw_forward/parser/http1_parser_test.cpp
+++ b/modules/bw_forward/parser/http1_parser_test.cpp
@@ -70,6 +70,17 @@
      "FOO / HTTP/1.1\r\n\r\n"},
     {"a CONNECT request is accepted", http1_side::Request,
      "CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n"},
+    {"a blank before the colon is accepted", http1_side::Request,
+     "GET / HTTP/1.1\r\nHost: a\r\nAuthorization : b\r\n\r\n"},
+    {"a tab before the colon is accepted", http1_side::Request,
+     "GET / HTTP/1.1\r\nHost: a\r\nAuthorization\t: b\r\n\r\n"},
+    {"a blank before the first field is accepted", http1_side::Request,
+     "GET / HTTP/1.1\r\n Authorization: b\r\nHost: a\r\n\r\n"},
+    {"a blank inside a name is accepted", http1_side::Request,
+     "GET / HTTP/1.1\r\nHost: a\r\nX Y: b\r\n\r\n"},
+    {"a hidden chunked coding is accepted", http1_side::Request,
+     "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+     "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n"},
 };
 
 } // namespace
