Test how customers are recognised

Cause: the path of keys from the callers' field to the servers had no tests.

An empty field now counts as an empty key, not as another scheme. A customer's name that no header field can carry (empty, control characters, blanks at an end) is refused, since it would add fields to requests for servers.

--- a/modules/bw_customers/directory/customer_directory.h
+++ b/modules/bw_customers/directory/customer_directory.h
@@ -34,26 +34,56 @@
   customer_allowance Allowance;
 };
 
+/// A list of customers that cannot be used.
+class customer_error : public error {
+public:
+  const customer_id &name() const { return Name; }
+
+protected:
+  customer_error(const customer_id &Name, const std::string &Reason)
+      : error(Reason), Name(Name) {}
+
+private:
+  customer_id Name;
+};
+
 /// Two customers have the same key or the same name.
-class customer_conflict_error : public error {
+class customer_conflict_error : public customer_error {
 public:
-  explicit customer_conflict_error(const customer_id &Name)
-      : error("customer '" + Name.value() +
-              "' has the name or a key of another customer"),
-        Name(Name) {}
+  enum class kind : std::uint8_t { Name, Key };
+
+  customer_conflict_error(const customer_id &Name, kind Kind)
+      : customer_error(Name, "customer '" + Name.value() +
+                                 (Kind == kind::Name
+                                      ? "' is listed twice"
+                                      : "' has a key of another customer")),
+        Kind(Kind) {}
 
   std::string_view code() const override { return "customer_conflict"; }
-  const customer_id &name() const { return Name; }
+  kind conflict() const { return Kind; }
 
 private:
-  customer_id Name;
+  kind Kind;
+};
+
+/// A header field cannot carry the name of a customer unchanged.
+class customer_name_error : public customer_error {
+public:
+  // The name is left out of the message, since it may contain control
+  // characters.
+  explicit customer_name_error(const customer_id &Name)
+      : customer_error(Name,
+                       "the name of a customer is empty, has blanks at an "
+                       "end or contains control characters") {}
+
+  std::string_view code() const override { return "customer_name"; }
 };
 
 /// The customers of one configuration version, found by the digests of their
 /// keys. Immutable.
 class customer_directory {
 public:
-  /// \throws customer_conflict_error
+  /// \throws customer_error
   explicit customer_directory(std::vector<customer> Customers);
 
   /// Returns the customer with this key, or null.
--- a/modules/bw_forward/callers/authorization_field.cpp
+++ b/modules/bw_forward/callers/authorization_field.cpp
@@ -35,6 +35,8 @@
   if (Found == nullptr)
     return withoutDigest(key_presence::Absent);
   const std::string_view Credentials = trim(Found->Value);
+  if (Credentials.empty())
+    return withoutDigest(key_presence::Empty);
   const std::size_t Blank =
       std::min(Credentials.find_first_of(Blanks), Credentials.size());
   if (!equalsIgnoringCase(Credentials.substr(0, Blank), KeyScheme))
--- /dev/null
+++ b/modules/bw_gateway/customers/customer_gate_test.cpp
@@ -0,0 +1,155 @@
+#include "bw_gateway/customers/customer_gate.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace bw;
+
+namespace {
+
+enum class customers_known { NoConfiguration, NotNamed, None, Two };
+
+constexpr std::uint32_t RoutePriority = 5;
+
+struct gate_case {
+  const char *Failure;
+  customers_known Customers;
+  bool IsPublic;
+  key_presence Presence;
+  const char *Key;
+  bool IsRefused;
+  /// What servers learn; null if the request is passed on as it came.
+  const char *Name;
+  std::uint32_t Priority = RoutePriority;
+};
+
+const gate_case GateCases[] = {
+    {"a key is asked for without a configuration",
+     customers_known::NoConfiguration, false, key_presence::Absent, "", false,
+     nullptr},
+    {"a key is asked for where no customers are named",
+     customers_known::NotNamed, false, key_presence::Absent, "", false,
+     nullptr},
+    {"credentials for a server are taken for a key", customers_known::NotNamed,
+     false, key_presence::OtherScheme, "", false, nullptr},
+    {"an empty list of customers admits everybody", customers_known::None,
+     false, key_presence::Absent, "", true, ""},
+    {"an empty list of customers admits a key", customers_known::None, false,
+     key_presence::Present, "k1", true, ""},
+    {"an empty list of customers closes public routes", customers_known::None,
+     true, key_presence::Absent, "", false, ""},
+    {"a known key is refused", customers_known::Two, false,
+     key_presence::Present, "k1", false, "county", 0},
+    {"the second key of a customer is refused", customers_known::Two, false,
+     key_presence::Present, "k2", false, "county", 0},
+    {"a customer without a priority does not get the route's",
+     customers_known::Two, false, key_presence::Present, "k3", false, "state"},
+    {"an unknown key is admitted", customers_known::Two, false,
+     key_presence::Present, "k4", true, ""},
+    {"a request without a key is admitted", customers_known::Two, false,
+     key_presence::Absent, "", true, ""},
+    {"a repeated key is admitted", customers_known::Two, false,
+     key_presence::Repeated, "k1", true, ""},
+    {"another scheme is admitted", customers_known::Two, false,
+     key_presence::OtherScheme, "k1", true, ""},
+    {"an empty key is admitted", customers_known::Two, false,
+     key_presence::Empty, "k1", true, ""},
+    {"a key that is too long is admitted", customers_known::Two, false,
+     key_presence::TooLong, "k1", true, ""},
+    {"a public route asks for a key", customers_known::Two, true,
+     key_presence::Absent, "", false, ""},
+    {"a public route refuses an unknown key", customers_known::Two, true,
+     key_presence::Present, "k4", false, ""},
+    {"a public route uses a repeated key", customers_known::Two, true,
+     key_presence::Repeated, "k1", false, ""},
+    {"a public route hides the customer of a known key", customers_known::Two,
+     true, key_presence::Present, "k1", false, "county", 0},
+};
+
+std::shared_ptr<const gateway_configuration>
+configuration(customers_known Known) {
+  if (Known == customers_known::NoConfiguration)
+    return nullptr;
+  auto Result = std::make_shared<gateway_configuration>();
+  if (Known == customers_known::NotNamed)
+    return Result;
+  std::vector<customer> Customers;
+  if (Known == customers_known::Two)
+    Customers = {{.Name = customer_id("county"),
+                  .Keys = {key_digest::of("k1"), key_digest::of("k2")},
+                  .Priority = 0,
+                  .Allowance = {}},
+                 {.Name = customer_id("state"),
+                  .Keys = {key_digest::of("k3")},
+                  .Priority = {},
+                  .Allowance = {}}};
+  Result->Customers = std::make_shared<const customer_directory>(Customers);
+  return Result;
+}
+
+presented_key keyOf(const char *Key) {
+  return {.Presence = key_presence::Present, .Digest = key_digest::of(Key)};
+}
+
+} // namespace
+
+class customer_gate_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(customer_gate_test);
+  CPPUNIT_TEST(admitsCustomersByTheirKeys);
+  CPPUNIT_TEST(aNewConfigurationReplacesAllKeys);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against requests without a known key that reach a server, and
+  // against a wrong name or priority.
+  void admitsCustomersByTheirKeys() {
+    for (const gate_case &Case : GateCases) {
+      customer_gate Gate;
+      Gate.setConfiguration(configuration(Case.Customers));
+      const gateway_route Route{.Id = route_id("r"),
+                                .Priority = RoutePriority,
+                                .IsPublic = Case.IsPublic};
+      // Unreadable credentials have a digest here, so that its use shows.
+      const customer_decision Decision = Gate.admit(
+          {.Presence = Case.Presence, .Digest = key_digest::of(Case.Key)},
+          Route);
+      CPPUNIT_ASSERT_MESSAGE(
+          Case.Failure,
+          Decision.Refusal ==
+              (Case.IsRefused ? std::optional(refusal_reason::Unauthenticated)
+                              : std::nullopt));
+      // The caller must not come back with the same key.
+      CPPUNIT_ASSERT_MESSAGE(Case.Failure, !Decision.RetryAfter);
+      CPPUNIT_ASSERT_MESSAGE(Case.Failure, Decision.Customer.has_value() ==
+                                               (Case.Name != nullptr));
+      if (Case.Name != nullptr)
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Case.Failure, std::string(Case.Name),
+                                     Decision.Customer->Name.value());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Case.Failure, Case.Priority,
+                                   Decision.Priority);
+    }
+  }
+
+  // Guards against a withdrawn key that stays valid, and against a key that two
+  // customers hold after it was moved.
+  void aNewConfigurationReplacesAllKeys() {
+    customer_gate Gate;
+    Gate.setConfiguration(configuration(customers_known::Two));
+    const gateway_route Route{.Id = route_id("r")};
+    CPPUNIT_ASSERT(!Gate.admit(keyOf("k1"), Route).Refusal);
+    auto Next = std::make_shared<gateway_configuration>();
+    Next->Customers = std::make_shared<const customer_directory>(
+        std::vector<customer>{{.Name = customer_id("state"),
+                               .Keys = {key_digest::of("k1")},
+                               .Priority = {},
+                               .Allowance = {}}});
+    Gate.setConfiguration(Next);
+    CPPUNIT_ASSERT(Gate.admit(keyOf("k1"), Route).Customer->Name ==
+                   customer_id("state"));
+    for (const char *Withdrawn : {"k2", "k3"})
+      CPPUNIT_ASSERT_MESSAGE(Withdrawn,
+                             Gate.admit(keyOf(Withdrawn), Route).Refusal ==
+                                 refusal_reason::Unauthenticated);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(customer_gate_test);
--- /dev/null
+++ b/modules/bw_gateway/engine/customer_requests_test.cpp
@@ -0,0 +1,175 @@
+// Tests the engine's decisions on requests of customers.
+
+#include "bw_gateway/engine/gateway_engine.h"
+
+#include "bw_testing/runner/test_seed.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace bw;
+using namespace std::chrono_literals;
+
+namespace {
+
+gateway_route route(const std::string &Prefix, bool IsPublic) {
+  return {.Id = route_id(Prefix),
+          .VirtualHost = "one.example",
+          .Prefix = Prefix,
+          .Destinations = {{.Service = service_id("diary")}},
+          .Execution = execution_rule::Repeatable,
+          .Timeout = 3s,
+          .TargetLatency = 1s,
+          .MaxAttempts = 2,
+          .IsPublic = IsPublic};
+}
+
+configuration_read configuration(std::uint64_t Version, const char *Key) {
+  auto Result = std::make_shared<gateway_configuration>();
+  Result->Version = config_version(Version);
+  Result->Routes = {route("/own/", false), route("/open/", true)};
+  Result->Customers = std::make_shared<const customer_directory>(
+      std::vector<customer>{{.Name = customer_id("county"),
+                             .Keys = {key_digest::of(Key)},
+                             .Priority = {},
+                             .Allowance = {}}});
+  return {Result};
+}
+
+} // namespace
+
+class customer_requests_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(customer_requests_test);
+  CPPUNIT_TEST(withoutConfigurationNobodyIsUnauthenticated);
+  CPPUNIT_TEST(unknownKeysReachNoServer);
+  CPPUNIT_TEST(allAttemptsNameTheCustomer);
+  CPPUNIT_TEST(withdrawnKeysAreRefusedInTheNextRequest);
+  CPPUNIT_TEST(decisionsNameCustomerAndReason);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override {
+    Decisions.clear();
+    LastRequest = {};
+    Engine = std::make_unique<gateway_engine>(gateway_engine_options{
+        .Seed = testSeed(),
+        .Observer = {.OnRequest = [this](const request_decision &Each) {
+          Decisions.push_back(Each);
+        }}});
+  }
+
+  // Guards against a final 401 for a valid key at a host that has just started.
+  void withoutConfigurationNobodyIsUnauthenticated() {
+    for (const char *Key : {"", "k1"}) {
+      const auto Refused = only<refuse_request>(arrive("/own/1", Key));
+      CPPUNIT_ASSERT(Refused.Reason == refusal_reason::NoConfiguration);
+      CPPUNIT_ASSERT(Refused.RetryAfter.has_value());
+    }
+  }
+
+  // Guards against requests without a known key that use a server, and against
+  // a time to come back, which the caller would use in vain.
+  void unknownKeysReachNoServer() {
+    configure("k1");
+    for (const char *Key : {"", "k2"}) {
+      const auto Refused = only<refuse_request>(arrive("/own/1", Key));
+      CPPUNIT_ASSERT(Refused.Reason == refusal_reason::Unauthenticated);
+      CPPUNIT_ASSERT(!Refused.RetryAfter);
+      const auto Open = only<start_attempt>(arrive("/open/1", Key));
+      CPPUNIT_ASSERT(Open.Customer == forwarded_customer{});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Engine->openRequests());
+    // The path of an unknown route is unknown with any key.
+    CPPUNIT_ASSERT(only<refuse_request>(arrive("/none/1", "")).Reason ==
+                   refusal_reason::NoRoute);
+  }
+
+  // Guards against a retry or hedge that passes on the key or no name.
+  void allAttemptsNameTheCustomer() {
+    configure("k1");
+    const forwarded_customer County{.Name = customer_id("county")};
+    const auto First = only<start_attempt>(arrive("/own/1", "k1"));
+    CPPUNIT_ASSERT(First.Customer == County);
+    const auto Second = only<start_attempt>(
+        handle(attempt_ended{.Request = First.Request,
+                             .Attempt = First.Attempt,
+                             .Outcome = attempt_outcome::NotExecuted}));
+    CPPUNIT_ASSERT(Second.Customer == County);
+  }
+
+  // Guards against keys that outlast the configuration that withdrew them.
+  void withdrawnKeysAreRefusedInTheNextRequest() {
+    configure("k1");
+    only<start_attempt>(arrive("/own/1", "k1"));
+    handle(configuration(2, "k2"));
+    CPPUNIT_ASSERT(only<refuse_request>(arrive("/own/1", "k1")).Reason ==
+                   refusal_reason::Unauthenticated);
+    only<start_attempt>(arrive("/own/1", "k2"));
+    // An older version must not bring the key back.
+    CPPUNIT_ASSERT(handle(configuration(1, "k1")).empty());
+    CPPUNIT_ASSERT(only<refuse_request>(arrive("/own/1", "k1")).Reason ==
+                   refusal_reason::Unauthenticated);
+  }
+
+  // Guards against a log that cannot tell why a request got 401.
+  void decisionsNameCustomerAndReason() {
+    configure("k1");
+    arrive("/own/1", "k1");
+    CPPUNIT_ASSERT(Decisions.back().Customer == customer_id("county"));
+    arrive("/own/1", "");
+    CPPUNIT_ASSERT(Decisions.back().Step == request_step::Refused);
+    CPPUNIT_ASSERT(Decisions.back().Customer.empty());
+    CPPUNIT_ASSERT(Decisions.back().Key == key_presence::Absent);
+    CPPUNIT_ASSERT(Decisions.back().Route == route_id("/own/"));
+    CPPUNIT_ASSERT(Decisions.back().Version == config_version(1));
+    arrive("/own/1", "k2");
+    CPPUNIT_ASSERT(Decisions.back().Key == key_presence::Present);
+  }
+
+private:
+  void configure(const char *Key) {
+    handle(configuration(1, Key));
+    servers_listed Servers{.Revision = store_revision(1)};
+    for (const char *Name : {"s1", "s2", "s3"})
+      Servers.Servers.push_back({.Server = backend_server_id(Name),
+                                 .Service = service_id("diary"),
+                                 .DataCentre = data_centre_id("near"),
+                                 .Address = server_address("10.0.0.1:80"),
+                                 .Slots = slot_count(4)});
+    handle(Servers);
+  }
+
+  gateway_engine::commands handle(const gateway_event &Event) {
+    gateway_engine::commands Out;
+    Engine->handle(Event, Now, Out);
+    return Out;
+  }
+
+  gateway_engine::commands arrive(const std::string &Path,
+                                  const std::string &Key) {
+    LastRequest = LastRequest.next();
+    presented_key Presented;
+    if (!Key.empty())
+      Presented = {.Presence = key_presence::Present,
+                   .Digest = key_digest::of(Key)};
+    return handle(request_arrived{.Request = LastRequest,
+                                  .Label = request_label("label"),
+                                  .VirtualHost = "one.example",
+                                  .Path = Path,
+                                  .CallerTimeout = 8s,
+                                  .Key = Presented});
+  }
+
+  template <typename Command>
+  static Command only(const gateway_engine::commands &Out) {
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Out.size());
+    CPPUNIT_ASSERT(std::holds_alternative<Command>(Out.front()));
+    return std::get<Command>(Out.front());
+  }
+
+  std::unique_ptr<gateway_engine> Engine;
+  std::vector<request_decision> Decisions;
+  time_point Now{100s};
+  request_number LastRequest;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(customer_requests_test);
--- a/modules/bw_gateway_daemon/peers/exchange_messages.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_messages.cpp
@@ -205,8 +205,8 @@
     Result.push_back(decodeCustomer(Each));
   try {
     return std::make_shared<const customer_directory>(std::move(Result));
-  } catch (const customer_conflict_error &Conflict) {
-    throw exchange_error(Conflict.what());
+  } catch (const customer_error &Failure) {
+    throw exchange_error(Failure.what());
   }
 }
 
