Refuse invalid configurations as a whole

Cause: a configuration with a fault was partly corrected (max_attempts of 0, an unknown kind), dropped with a general reason, or read four times a second until it was replaced; "tenants": null admitted every request without a key.

Change: configuration_codec checks each field and refuses the object with its name, version, field path and reason. A version that is not above that of an earlier revision is refused too. The follower writes BW1401 once for each revision, counts it in bramleywinch_configurations_refused_total, and goes on watching after it; an unreadable text is read again as often as a watch would end.

--- a/modules/bw_gateway_daemon/follow/configuration_follower.cpp
+++ b/modules/bw_gateway_daemon/follow/configuration_follower.cpp
@@ -9,7 +9,7 @@
     runtime_clock &Clock, configuration_follower_options GivenOptions)
     : service(std::string(ServiceName)), Clock(Clock),
       Options(std::move(GivenOptions)), Random(Options.Seed),
-      Thread(Clock, [this] { return poll(); }) {}
+      Refusals(Options.OnRefused), Thread(Clock, [this] { return poll(); }) {}
 
 void configuration_follower::attach(service_registry &Registry) {
   State = &Registry.find<platform_state>(platform_state::ServiceName);
@@ -53,10 +53,7 @@
              {{"duty", std::string(ServiceName)}});
   switch (Result.End) {
   case watch_end::Changed:
-    Watched = Result.Revision;
-    if (Result.Configuration)
-      State->offerConfiguration(Result.Configuration);
-    return duration::zero();
+    return changed(Result);
   case watch_end::Unchanged:
     // Before the first configuration is written, the listing still has a
     // revision from which to watch.
@@ -76,3 +73,24 @@
   }
   return Options.RetryPause;
 }
+
+// A refused configuration changes nothing at this host. The next watch starts
+// after it, so that it costs no more calls than a valid one.
+duration configuration_follower::changed(const configuration_watch &Read) {
+  for (const configuration_refusal &Each : Read.Refusals)
+    Refusals.report(Each);
+  if (Read.Configuration) {
+    Refusals.objectRead(Read.Object, Read.ObjectRevision,
+                        Read.Configuration->Version);
+    State->offerConfiguration(Read.Configuration);
+  }
+  if (Read.Revision != store_revision()) {
+    Watched = Read.Revision;
+    return duration::zero();
+  }
+  // Nothing tells where to continue, and the history contains the unreadable
+  // text as long as it lasts. Reads the current object as often as a watch
+  // would end.
+  Watched.reset();
+  return watchTime();
+}
--- a/modules/bw_gateway_daemon/follow/configuration_follower.h
+++ b/modules/bw_gateway_daemon/follow/configuration_follower.h
@@ -23,6 +23,9 @@
   duration IdlePause = std::chrono::milliseconds(400);
   /// Pause after a call without a response.
   duration RetryPause = std::chrono::milliseconds(250);
+  /// Called for each refused revision of the configuration.
+  std::function<void(const configuration_refusal &)> OnRefused =
+      [](const configuration_refusal &) {};
 };
 
 /// Service *configuration*: watches the operators' configuration in the store
@@ -40,6 +43,7 @@
 
 private:
   duration poll();
+  duration changed(const configuration_watch &Read);
   bool isDelegated();
   std::chrono::milliseconds watchTime();
 
@@ -50,6 +54,7 @@
   /// The revision from which to continue the watch; none if it must be read.
   std::optional<store_revision> Watched;
   bool IsAvailable = true;
+  refusal_reporter Refusals;
   follower_thread Thread;
 };
 
--- /dev/null
+++ b/modules/bw_gateway_daemon/follow/configuration_refusal.h
@@ -0,0 +1,54 @@
+#ifndef BW_GATEWAY_DAEMON_FOLLOW_CONFIGURATION_REFUSAL_H
+#define BW_GATEWAY_DAEMON_FOLLOW_CONFIGURATION_REFUSAL_H
+
+#include "bw_gateway/messages/gateway_events.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <utility>
+
+namespace bw {
+
+/// Why a configuration from the store is not put in force.
+struct configuration_refusal {
+  /// Name of the object.
+  std::string Object;
+  /// Revision of the object; 0 if it is not known.
+  store_revision Revision;
+  std::optional<config_version> Version = {};
+  /// Path of the field, such as `listeners[0].host`; empty for the whole text.
+  std::string Field;
+  /// Never contains a key.
+  std::string Reason;
+};
+
+/// Reports refused configurations: in the log and to a hook, once for each
+/// revision, however often it is read. Not thread-safe.
+class refusal_reporter {
+public:
+  explicit refusal_reporter(
+      std::function<void(const configuration_refusal &)> OnRefused)
+      : OnRefused(std::move(OnRefused)) {}
+
+  void report(const configuration_refusal &Refusal);
+
+  /// Reports a valid object whose version is not above that of an earlier
+  /// revision. Older revisions and repeated readings are not reported.
+  void objectRead(const std::string &Object, store_revision Revision,
+                  config_version Version);
+
+private:
+  using refusal_key =
+      std::tuple<std::string, store_revision, std::string, std::string>;
+
+  std::function<void(const configuration_refusal &)> OnRefused;
+  std::optional<refusal_key> Last;
+  /// Latest revision of a valid object and the highest version so far.
+  std::optional<std::pair<store_revision, config_version>> LastValid;
+};
+
+} // namespace bw
+
+#endif
--- a/modules/bw_gateway_daemon/follow/platform_source.h
+++ b/modules/bw_gateway_daemon/follow/platform_source.h
@@ -3,6 +3,7 @@
 
 #include "bw_gateway/hosts/gateway_host.h"
 #include "bw_gateway/messages/gateway_events.h"
+#include "bw_gateway_daemon/follow/configuration_refusal.h"
 
 #include <chrono>
 #include <functional>
@@ -14,7 +15,7 @@
 namespace bw {
 
 enum class watch_end : std::uint8_t {
-  Changed,     ///< A newer configuration was read.
+  Changed,     ///< A configuration was read; it may be one that is refused.
   Unchanged,   ///< The wait timed out.
   HistoryGone, ///< The revision is too old to watch from; read again.
   Unavailable, ///< The store did not respond.
@@ -22,10 +23,16 @@
 
 struct configuration_watch {
   watch_end End = watch_end::Unavailable;
-  /// The revision from which to continue watching.
+  /// The revision from which to continue watching; 0 if the response does not
+  /// tell it.
   store_revision Revision;
-  /// Set if the configuration has changed.
+  /// Set if the configuration has changed and is valid.
   std::shared_ptr<const gateway_configuration> Configuration;
+  /// Name and revision of the object that holds it.
+  std::string Object = {};
+  store_revision ObjectRevision = {};
+  /// Configurations that cannot be put in force.
+  std::vector<configuration_refusal> Refusals = {};
 };
 
 /// A change to one entry of the server list.
--- a/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
+++ b/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
@@ -11,6 +11,8 @@
 const std::string ServerChanges = "bramleywinch_server_changes_total";
 const std::string ConfigurationChanges =
     "bramleywinch_configuration_changes_total";
+const std::string ConfigurationsRefused =
+    "bramleywinch_configurations_refused_total";
 const std::string Duration = "bramleywinch_request_duration_seconds";
 
 constexpr int FirstServerError = 500;
@@ -102,6 +104,15 @@
               }};
 }
 
+std::function<void(const configuration_refusal &)>
+bw::makeRefusalMetric(metric_registry &Metrics) {
+  // Operators watch the increase, so the series has to exist before.
+  Metrics.count(ConfigurationsRefused, {}, 0);
+  return [&Metrics](const configuration_refusal &) {
+    Metrics.count(ConfigurationsRefused, {});
+  };
+}
+
 gateway_observer bw::combineObservers(const gateway_observer &First,
                                       const gateway_observer &Second) {
   return {
@@ -132,6 +143,8 @@
   Metrics.describe(FailedAttempts, "Attempts without a usable answer.");
   Metrics.describe(ServerChanges, "Changes of what is known of servers.");
   Metrics.describe(ConfigurationChanges, "Configurations put in force.");
+  Metrics.describe(ConfigurationsRefused,
+                   "Configurations of the store not put in force.");
   Metrics.describe(Duration, "From arrival to the decision to hand on.");
   const auto Add = [&](const std::string &Name, const std::string &Help,
                        std::function<double()> Value) {
--- a/modules/bw_gateway_daemon/metrics/gateway_metrics.h
+++ b/modules/bw_gateway_daemon/metrics/gateway_metrics.h
@@ -29,6 +29,11 @@
 /// Creates an observer that counts each decision. The registry must outlive it.
 gateway_observer makeDecisionMetrics(metric_registry &Metrics);
 
+/// Creates a hook that counts refused configurations. The registry must outlive
+/// it.
+std::function<void(const configuration_refusal &)>
+makeRefusalMetric(metric_registry &Metrics);
+
 /// Creates an observer that calls the first observer, then the second.
 gateway_observer combineObservers(const gateway_observer &First,
                                   const gateway_observer &Second);
