Decide until when a configuration is fresh

Cause: a version number says which configuration a host has, but not until when that version was the newest, so a host that is cut off serves withdrawn keys.

Change: configuration_freshness holds the latest boot time at which the version in force is known to have been current, numbers queries to other hosts, counts a reply from when its query was sent, and says whom to ask and when to read the store.

--- a/modules/bw_customers/bw_customers.h
+++ b/modules/bw_customers/bw_customers.h
@@ -1,13 +1,15 @@
 /// \file
-/// Customers that share a fleet: recognition of their keys and what each of
-/// them may do. A key is known by its digest only. The logic takes typed
-/// messages and the current time; it does no I/O.
+/// Customers that share a fleet: recognition of their keys, what each of them
+/// may do, and until when a configuration may be used for it. A key is known by
+/// its digest only. The logic takes typed messages and the current time; it
+/// does no I/O.
 ///
 /// Depends on: bw_core.
 #ifndef BW_CUSTOMERS_BW_CUSTOMERS_H
 #define BW_CUSTOMERS_BW_CUSTOMERS_H
 
 #include "bw_customers/directory/customer_directory.h"
+#include "bw_customers/freshness/configuration_freshness.h"
 #include "bw_customers/keys/key_digest.h"
 #include "bw_customers/keys/presented_key.h"
 
