Refuse requests with keys while the configuration is stale

Cause: a host that cannot learn of a withdrawn key passed on requests with it for ever, and a retry or hedge used the customer found at admission.

Change: customer_gate refuses with ConfigurationStale at admission and looks the key up again before each attempt. An attempt names the time to send it by, which server_connection checks by boot time right before it writes; a late one ends as Expired and counts against no server or path. While a newer version is known to exist, an unknown key or route gets 503 in place of a final error. Log events 1407 and 1408 tell when requests with keys are refused and served again.

--- a/modules/bw_customers/freshness/configuration_freshness.h
+++ b/modules/bw_customers/freshness/configuration_freshness.h
@@ -66,6 +66,8 @@
   /// Records that another host has this version. Returns true if it is newer
   /// than all that are known.
   bool recordReportedVersion(config_version Reported);
+  /// The newest version that is known to exist.
+  config_version newestKnown() const { return NewestKnown; }
   /// True if a newer version than the one in force is known to exist.
   bool isNewerVersionKnown() const { return NewestKnown > Version; }
 
@@ -91,7 +93,9 @@
   /// check is off.
   std::optional<boot_time_point> sendBefore() const;
   bool isFresh(boot_time_point Now) const;
-  /// Age of the latest proof, if there is one.
+  /// The latest time at which the version is known to have been current.
+  std::optional<boot_time_point> verifiedAt() const { return Verified; }
+  /// Time since then.
   std::optional<duration> proofAge(boot_time_point Now) const;
 
 private:
--- a/modules/bw_forward/servers/server_attempt.h
+++ b/modules/bw_forward/servers/server_attempt.h
@@ -27,6 +27,8 @@
   time_point Deadline;
   /// Set if the configuration names customers.
   std::optional<forwarded_customer> Customer;
+  /// The request must not be sent from this time on.
+  std::optional<boot_time_point> SendBefore;
   exchange_pointer Exchange;
   std::shared_ptr<server_connection> Connection;
 
--- a/modules/bw_forward/servers/server_connection.cpp
+++ b/modules/bw_forward/servers/server_connection.cpp
@@ -101,6 +101,10 @@
 }
 
 void server_connection::beginRequest() {
+  // Checked here, as the process may have been suspended since the decision or
+  // during the connect.
+  if (Attempt->SendBefore && Hooks.BootNow() >= *Attempt->SendBefore)
+    return fail(attempt_outcome::Expired);
   Attempt->IsSent = true;
   SkippedBytes = 0;
   IsRequestWritten = !Attempt->Exchange->IsStreamed;
--- a/modules/bw_forward/servers/server_connection.h
+++ b/modules/bw_forward/servers/server_connection.h
@@ -19,6 +19,7 @@
 /// Callbacks of a server connection; called on the forwarding thread.
 struct server_connection_hooks {
   std::function<time_point()> Now = [] { return time_point(); };
+  std::function<boot_time_point()> BootNow = [] { return boot_time_point(); };
   /// The whole response is buffered, or the buffer limit is reached.
   std::function<void(const attempt_pointer &)> OnResponse =
       [](const attempt_pointer &) {};
--- a/modules/bw_forward/service/forward_service.cpp
+++ b/modules/bw_forward/service/forward_service.cpp
@@ -99,6 +99,7 @@
             }};
     ServerHooks = {
         .Now = [this] { return this->Clock.now(); },
+        .BootNow = [this] { return this->Clock.bootNow(); },
         .OnResponse =
             [this](const attempt_pointer &Each) { responseReceived(*Each); },
         .OnBodyPart =
@@ -264,6 +265,7 @@
     Attempt->Address = Command.Address;
     Attempt->Deadline = Clock.now() + Command.TimeLeft;
     Attempt->Customer = Command.Customer;
+    Attempt->SendBefore = Command.SendBefore;
     Attempt->Exchange = Found->second.Exchange;
     Found->second.Attempts.push_back(Attempt);
     if (auto Connection = takeIdle(Command.Server)) {
--- a/modules/bw_gateway/bw_gateway.h
+++ b/modules/bw_gateway/bw_gateway.h
@@ -10,6 +10,7 @@
 #define BW_GATEWAY_BW_GATEWAY_H
 
 #include "bw_gateway/customers/customer_gate.h"
+#include "bw_gateway/customers/freshness_gate.h"
 #include "bw_gateway/engine/gateway_engine.h"
 #include "bw_gateway/messages/gateway_commands.h"
 #include "bw_gateway/messages/gateway_configuration.h"
--- a/modules/bw_gateway/customers/customer_gate.h
+++ b/modules/bw_gateway/customers/customer_gate.h
@@ -3,6 +3,7 @@
 
 #include "bw_core/ids/time.h"
 #include "bw_customers/keys/presented_key.h"
+#include "bw_gateway/customers/freshness_gate.h"
 #include "bw_gateway/messages/gateway_commands.h"
 #include "bw_gateway/messages/gateway_configuration.h"
 
@@ -29,14 +30,39 @@
 /// thread-safe.
 class customer_gate {
 public:
+  explicit customer_gate(configuration_freshness_options Freshness = {})
+      : Freshness(Freshness) {}
+
   void
-  setConfiguration(std::shared_ptr<const gateway_configuration> Configuration);
+  setConfiguration(std::shared_ptr<const gateway_configuration> Configuration,
+                   time_point Now);
 
   /// Decides on a request that has arrived.
-  customer_decision admit(const presented_key &Key, const gateway_route &Route);
+  customer_decision admit(const presented_key &Key, const gateway_route &Route,
+                          time_point Now);
+  /// Looks the key of an admitted request up again before an attempt, and
+  /// updates the customer that the server learns of. Returns why the request
+  /// must not be sent, if it must not.
+  std::optional<refusal_reason>
+  checkAttempt(const presented_key &Key, const gateway_route &Route,
+               std::optional<forwarded_customer> &Customer,
+               time_point Now) const;
+  /// Until when an attempt for this customer may be sent.
+  std::optional<boot_time_point>
+  sendBefore(const std::optional<forwarded_customer> &Customer) const;
+  /// Returns why a request without a route is refused.
+  refusal_reason unknownRouteRefusal(time_point Now) const;
+
+  freshness_gate &freshness() { return Freshness; }
+  const freshness_gate &freshness() const { return Freshness; }
 
 private:
+  /// Returns the customer with the key, or null.
+  const customer *find(const presented_key &Key, time_point Now) const;
+  refusal_reason unknownKeyRefusal(time_point Now) const;
+
   std::shared_ptr<const gateway_configuration> Configuration;
+  freshness_gate Freshness;
 };
 
 } // namespace bw
--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -57,7 +57,7 @@
 
 gateway_engine::gateway_engine(gateway_engine_options GivenOptions)
     : Options(std::move(GivenOptions)), Random(Options.Seed),
-      Pool(Options.Pool), Hosts(AssumedHosts) {
+      Pool(Options.Pool), Customers(Options.Freshness), Hosts(AssumedHosts) {
   Pool.setHosts({.Hosts = Hosts, .LocalHosts = Hosts});
 }
 
@@ -74,7 +74,8 @@
 
 time_point gateway_engine::nextDue() const {
   const time_point Next =
-      Timers.empty() ? time_point::max() : Timers.begin()->At;
+      std::min(Timers.empty() ? time_point::max() : Timers.begin()->At,
+               Customers.freshness().expiry());
   return FinishBy && !HasEndedRequests && !Requests.empty()
              ? std::min(Next, *FinishBy)
              : Next;
@@ -88,6 +89,8 @@
   }
   if (FinishBy && !HasEndedRequests && Now >= *FinishBy)
     endOpenRequests(Now, Out);
+  if (const auto Change = Customers.freshness().takeChange(Now))
+    Options.Observer.OnFreshness(*Change);
   for (const pool_change &Change : Pool.takeChanges())
     Options.Observer.OnServer(Change);
 }
@@ -105,9 +108,9 @@
     return refuse(Found, refusal_reason::NoConfiguration, Now, Out);
   Request.Route = Routes.find(Event.VirtualHost, Event.Path);
   if (Request.Route == nullptr)
-    return refuse(Found, refusal_reason::NoRoute, Now, Out);
+    return refuse(Found, Customers.unknownRouteRefusal(Now), Now, Out);
   const customer_decision Admission =
-      Customers.admit(Request.Key, *Request.Route);
+      Customers.admit(Request.Key, *Request.Route, Now);
   Request.Customer = Admission.Customer;
   Request.Priority = Admission.Priority;
   if (Admission.Refusal)
@@ -122,7 +125,8 @@
   if (!endsBeforeStop(Request))
     return refuse(Found, refusal_reason::Stopping, Now, Out);
   if (!startAttempt(Event.Request, Request, request_step::Sent, Now, Out))
-    return refuse(Found, refusal_reason::NoServer, Now, Out);
+    return refuse(Found, Request.KeyRefusal.value_or(refusal_reason::NoServer),
+                  Now, Out);
   schedule(Request, {.At = Request.Deadline + DeadlineSlack,
                      .Request = Event.Request,
                      .Attempt = {},
@@ -145,6 +149,10 @@
                                   commands &Out) {
   if (Request.Deadline - Now < MinTimeLeft || !endsBeforeStop(Request))
     return false;
+  Request.KeyRefusal = Customers.checkAttempt(Request.Key, *Request.Route,
+                                              Request.Customer, Now);
+  if (Request.KeyRefusal)
+    return false;
   const bool IsFinalAttempt =
       Request.Route->Execution == execution_rule::AtMostOnce ||
       Request.Attempts + 1 >= Request.Route->MaxAttempts ||
@@ -160,12 +168,14 @@
                           .Server = Server->Server,
                           .Started = Now,
                           .IsHedge = Step == request_step::Hedged});
-  Out.push_back(start_attempt{.Request = Number,
-                              .Attempt = Attempt,
-                              .Server = Server->Server,
-                              .Address = Server->Address,
-                              .TimeLeft = Request.Deadline - Now,
-                              .Customer = Request.Customer});
+  Out.push_back(
+      start_attempt{.Request = Number,
+                    .Attempt = Attempt,
+                    .Server = Server->Server,
+                    .Address = Server->Address,
+                    .TimeLeft = Request.Deadline - Now,
+                    .Customer = Request.Customer,
+                    .SendBefore = Customers.sendBefore(Request.Customer)});
   schedule(Request, {.At = Now + slowAfter(*Request.Route),
                      .Request = Number,
                      .Attempt = Attempt,
@@ -238,6 +248,11 @@
     ++Request.ConnectFailures;
     Pool.addPathFailure(Ended->Server, Now);
     break;
+  case attempt_outcome::Expired:
+    // Says nothing about the server or the path to it.
+    --Request.Attempts;
+    ++Request.ConnectFailures;
+    break;
   case attempt_outcome::Broken:
     Request.MayHaveRun = true;
     if (!Ended->IsSlow)
@@ -313,8 +328,9 @@
   if (Request.HeldAnswer)
     return relay(Found, *Request.HeldAnswer, Now, Out);
   refuse(Found,
-         Request.MayHaveRun ? refusal_reason::Unknown
-                            : refusal_reason::NotExecuted,
+         Request.MayHaveRun
+             ? refusal_reason::Unknown
+             : Request.KeyRefusal.value_or(refusal_reason::NotExecuted),
          Now, Out);
 }
 
@@ -325,7 +341,8 @@
   if (Request.Route->Execution == execution_rule::Repeatable)
     return true;
   return !Request.MayHaveRun && (Outcome == attempt_outcome::NotExecuted ||
-                                 Outcome == attempt_outcome::NotSent);
+                                 Outcome == attempt_outcome::NotSent ||
+                                 Outcome == attempt_outcome::Expired);
 }
 
 bool gateway_engine::retry(request_number Number, request_state &Request,
@@ -557,14 +574,13 @@
 
 void gateway_engine::on(const configuration_read &Event, time_point Now,
                         commands &Out) {
-  static_cast<void>(Now);
   // An outdated answer or a slow peer must not restore an older configuration.
   if (!Event.Configuration || Event.Configuration->Version <= version())
     return;
   Options.Observer.OnConfiguration(version(), Event.Configuration->Version);
   Configuration = Event.Configuration;
   Routes = host_routes(*Configuration);
-  Customers.setConfiguration(Configuration);
+  Customers.setConfiguration(Configuration, Now);
   Out.push_back(limits_changed{Configuration->Limits});
 }
 
--- a/modules/bw_gateway/engine/gateway_engine.h
+++ b/modules/bw_gateway/engine/gateway_engine.h
@@ -24,6 +24,8 @@
 struct gateway_engine_options {
   std::uint64_t Seed = 1;
   server_pool_options Pool;
+  /// When requests with keys may be served.
+  configuration_freshness_options Freshness;
   /// Retry budget of all hosts together: at most this share of a service's
   /// requests in a window, plus `RetrySlack` attempts.
   ratio RetryRatio{0.2};
@@ -103,6 +105,8 @@
     bool IsReplayable = true;
     presented_key Key;
     std::optional<forwarded_customer> Customer;
+    /// Set if the last attempt was not started because of the key.
+    std::optional<refusal_reason> KeyRefusal;
     /// 0 is the most urgent.
     std::uint32_t Priority = 0;
     /// An attempt may have been executed.
@@ -138,6 +142,15 @@
   void on(const exchange_duty &Event, time_point Now, commands &Out);
   void on(const hosts_counted &Event, time_point Now, commands &Out);
   void on(const stop_began &Event, time_point Now, commands &Out);
+  void on(const configuration_verified &Event, time_point, commands &) {
+    Customers.freshness().handle(Event);
+  }
+  void on(const newer_version_known &Event, time_point, commands &) {
+    Customers.freshness().handle(Event);
+  }
+  void on(const time_suspended &Event, time_point, commands &) {
+    Customers.freshness().handle(Event);
+  }
 
   bool startAttempt(request_number Number, request_state &Request,
                     request_step Step, time_point Now, commands &Out);
--- a/modules/bw_gateway/engine/gateway_log.h
+++ b/modules/bw_gateway/engine/gateway_log.h
@@ -1,6 +1,7 @@
 #ifndef BW_GATEWAY_ENGINE_GATEWAY_LOG_H
 #define BW_GATEWAY_ENGINE_GATEWAY_LOG_H
 
+#include "bw_gateway/customers/freshness_gate.h"
 #include "bw_gateway/messages/gateway_commands.h"
 #include "bw_gateway/servers/server_pool.h"
 
@@ -56,6 +57,8 @@
   };
   std::function<void(config_version Old, config_version New)> OnConfiguration =
       [](config_version, config_version) {};
+  std::function<void(const freshness_change &)> OnFreshness =
+      [](const freshness_change &) {};
 };
 
 } // namespace bw
--- a/modules/bw_gateway/hosts/host_directory.cpp
+++ b/modules/bw_gateway/hosts/host_directory.cpp
@@ -265,6 +265,39 @@
   return Rank == 0 || (Duty.IsFirst && Rank < Options.ConfigurationDataCentres);
 }
 
+std::vector<gateway_host>
+host_directory::configurationFollowers(time_point Now) const {
+  // The first host of each data centre, this one included.
+  std::map<data_centre_id, gateway_host> Firsts;
+  const auto Offer = [&](const gateway_host &Host) {
+    const auto [Found, IsNew] = Firsts.try_emplace(Host.DataCentre, Host);
+    if (!IsNew && ranksBefore(Host, Found->second))
+      Found->second = Host;
+  };
+  Offer(Options.Self);
+  for (const auto &[Name, Entry] : Hosts)
+    if (isLive(Entry, Now))
+      Offer(Entry.Host);
+  std::vector<gateway_host> Ranked;
+  for (const auto &[DataCentre, First] : Firsts)
+    Ranked.push_back(First);
+  std::sort(Ranked.begin(), Ranked.end(), ranksBefore);
+  if (Ranked.size() > Options.ConfigurationDataCentres)
+    Ranked.resize(Options.ConfigurationDataCentres);
+  std::vector<gateway_host> Result =
+      liveAggregatorsIn(Ranked.front().DataCentre, Now);
+  for (std::size_t Index = 1; Index < Ranked.size(); ++Index)
+    if (Ranked[Index].Host != Options.Self.Host)
+      Result.push_back(Ranked[Index]);
+  return Result;
+}
+
+std::vector<gateway_host> host_directory::verifiers(time_point Now) const {
+  return duty(Now).IsAggregator
+             ? configurationFollowers(Now)
+             : liveAggregatorsIn(Options.Self.DataCentre, Now);
+}
+
 bool host_directory::followsHosts(time_point Now) const {
   return hasReadList(Now) || duty(Now).IsAggregator;
 }
--- a/modules/bw_gateway/hosts/host_directory.h
+++ b/modules/bw_gateway/hosts/host_directory.h
@@ -117,6 +117,11 @@
   /// True when this host reads the host list for its data centre.
   bool followsHosts(time_point Now) const;
 
+  /// Returns the hosts to ask whether the configuration is current: for an
+  /// aggregator, the other hosts that follow the store, for another host the
+  /// aggregators of its data centre. None if none of them is live.
+  std::vector<gateway_host> verifiers(time_point Now) const;
+
   /// Returns a live host to fetch a newer configuration than the own from, if
   /// there is any: a random one with the newest version, aggregators of the own
   /// data centre first, then its other hosts, then those of other data centres.
@@ -187,6 +192,8 @@
   std::vector<gateway_host> liveAggregatorsIn(const data_centre_id &DataCentre,
                                               time_point Now) const;
   std::vector<gateway_host> hostsIn(const data_centre_id &DataCentre) const;
+  /// Returns the other live hosts that follow the configuration in the store.
+  std::vector<gateway_host> configurationFollowers(time_point Now) const;
 
   host_directory_options Options;
   std::map<host_id, entry> Hosts;
--- a/modules/bw_gateway/messages/gateway_events.cpp
+++ b/modules/bw_gateway/messages/gateway_events.cpp
@@ -8,6 +8,8 @@
     return "not_executed";
   case attempt_outcome::NotSent:
     return "not_sent";
+  case attempt_outcome::Expired:
+    return "expired";
   case attempt_outcome::Broken:
     return "broken";
   }
--- a/modules/bw_gateway/messages/gateway_events.h
+++ b/modules/bw_gateway/messages/gateway_events.h
@@ -43,7 +43,9 @@
   Answered,    ///< Valid answer, not yet relayed to the caller.
   NotExecuted, ///< The server declined without executing it.
   NotSent,     ///< Connect failed; nothing of the request was sent.
-  Broken,      ///< Connection or answer broke; may have executed.
+  /// Nothing was sent, since the time to send it by had passed.
+  Expired,
+  Broken, ///< Connection or answer broke; may have executed.
 };
 
 /// Returns the name for logs and metrics, for example `not_executed`.
@@ -105,6 +107,23 @@
   std::shared_ptr<const gateway_configuration> Configuration;
 };
 
+/// A host could show that no newer version existed at that time.
+struct configuration_verified {
+  config_version Version;
+  boot_time_point CurrentAt{};
+};
+
+/// Another host has a newer configuration than this one.
+struct newer_version_known {
+  config_version Version;
+};
+
+/// Total time that the engine's clock has not counted, as the host was
+/// suspended.
+struct time_suspended {
+  duration Total{};
+};
+
 /// In-flight requests of one host by server. Servers without any are omitted.
 using load_list = std::vector<std::pair<backend_server_id, std::uint32_t>>;
 
@@ -203,7 +222,8 @@
     std::variant<request_arrived, attempt_ended, relay_ended, caller_left,
                  servers_listed, configuration_read, peer_reported,
                  load_summary, load_aggregate, exchange_duty, hosts_counted,
-                 stop_began>;
+                 stop_began, configuration_verified, newer_version_known,
+                 time_suspended>;
 
 } // namespace bw
 
--- a/modules/bw_kernel/log/log_event.cpp
+++ b/modules/bw_kernel/log/log_event.cpp
@@ -104,6 +104,13 @@
     {log_event::NewerConfigurationReported, "newer_configuration_reported",
      log_severity::Info,
      "Another host was first seen with a newer configuration than this one."},
+    {log_event::ConfigurationStale, "configuration_stale",
+     log_severity::Warning,
+     "The configuration is not known to be current; requests with keys are "
+     "refused."},
+    {log_event::ConfigurationFresh, "configuration_fresh", log_severity::Info,
+     "The configuration is known to be current; requests with keys are "
+     "served."},
     {log_event::OperatorCallRefused, "operator_call_refused",
      log_severity::Warning, "An operator's call was refused."},
     {log_event::ChangeAccepted, "change_accepted", log_severity::Info,
--- a/modules/bw_kernel/log/log_event.h
+++ b/modules/bw_kernel/log/log_event.h
@@ -61,6 +61,8 @@
   StateFetched = 1404,
   StateFetchFailed = 1405,
   NewerConfigurationReported = 1406,
+  ConfigurationStale = 1407,
+  ConfigurationFresh = 1408,
   // 1500: operators, orders and audit.
   OperatorCallRefused = 1500,
   ChangeAccepted = 1501,
