Carry queries for a proof of freshness between hosts

Cause: a host that does not follow the store can show that its configuration is current only by asking another host.

Ages are unsigned, rounded up, and left out with a reply port or an age that is out of range.

Result: two tests in exchange_messages_test pass; a datagram with both, a host name and an empty state stays below 100 bytes.

--- a/modules/bw_gateway_daemon/bw_gateway_daemon.h
+++ b/modules/bw_gateway_daemon/bw_gateway_daemon.h
@@ -4,7 +4,8 @@
 /// configuration and server list, the exchange with other hosts, readiness,
 /// metrics and the schedule of a planned stop.
 ///
-/// Depends on: bw_core, bw_kernel, bw_gateway, bw_forward, bw_http, bw_reports.
+/// Depends on: bw_core, bw_kernel, bw_customers, bw_gateway, bw_forward,
+/// bw_http, bw_reports.
 #ifndef BW_GATEWAY_DAEMON_BW_GATEWAY_DAEMON_H
 #define BW_GATEWAY_DAEMON_BW_GATEWAY_DAEMON_H
 
--- a/modules/bw_gateway_daemon/peers/exchange_messages.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_messages.cpp
@@ -263,6 +263,45 @@
   return Result;
 }
 
+namespace {
+
+void encodeVerification(const host_report &Report,
+                        exchange::host_report &Result) {
+  if (Report.Query) {
+    Result.mutable_verify_query()->set_number(Report.Query->Number.value());
+    Result.mutable_verify_query()->set_reply_port(Report.Query->ReplyPort);
+  }
+  if (!Report.Reply)
+    return;
+  auto *Reply = Result.mutable_verify_reply();
+  Reply->set_number(Report.Reply->Number.value());
+  Reply->set_version(Report.Reply->Version.value());
+  // Rounded up, so that no proof seems fresher than it is.
+  Reply->set_age(static_cast<std::uint64_t>(
+      std::chrono::ceil<std::chrono::microseconds>(Report.Reply->Age).count()));
+}
+
+// A query or reply with an unusable value is left out.
+void decodeVerification(const exchange::host_report &Report,
+                        host_report &Result) {
+  if (Report.has_verify_query()) {
+    const std::uint32_t Port = Report.verify_query().reply_port();
+    if (Port > 0 && Port <= std::numeric_limits<std::uint16_t>::max())
+      Result.Query = {.Number = query_number(Report.verify_query().number()),
+                      .ReplyPort = static_cast<std::uint16_t>(Port)};
+  }
+  if (!Report.has_verify_reply())
+    return;
+  const auto &Reply = Report.verify_reply();
+  constexpr std::chrono::microseconds MaxAge = MaxListAge;
+  if (Reply.age() <= static_cast<std::uint64_t>(MaxAge.count()))
+    Result.Reply = {.Number = query_number(Reply.number()),
+                    .Version = config_version(Reply.version()),
+                    .Age = std::chrono::microseconds(Reply.age())};
+}
+
+} // namespace
+
 std::string bw::encodeReport(const host_report &Report) {
   exchange::host_report Result;
   Result.set_host(Report.Observations.Host.value());
@@ -272,6 +311,7 @@
   Result.set_list_age(milliseconds(Report.State.ListAge));
   Result.set_confirmed_age(milliseconds(Report.State.ConfirmedAge));
   Result.set_hosts_digest(Report.State.HostsDigest.value());
+  encodeVerification(Report, Result);
   if (Report.Aggregate) {
     encodeAggregate(*Report.Aggregate, Result);
     return Result.SerializeAsString();
@@ -314,6 +354,7 @@
                 .ConfirmedAge = Report.has_confirmed_age()
                                     ? decodeAge(Report.confirmed_age())
                                     : duration::max()}};
+  decodeVerification(Report, Result);
   if (Report.is_aggregate()) {
     Result.Observations.HasLoad = false;
     Result.Aggregate = decodeAggregate(Report);
--- a/modules/bw_gateway_daemon/peers/exchange_messages.h
+++ b/modules/bw_gateway_daemon/peers/exchange_messages.h
@@ -2,6 +2,7 @@
 #define BW_GATEWAY_DAEMON_PEERS_EXCHANGE_MESSAGES_H
 
 #include "bw_core/errors/error.h"
+#include "bw_customers/freshness/configuration_freshness.h"
 #include "bw_gateway/hosts/host_directory.h"
 #include "bw_gateway/messages/gateway_events.h"
 
@@ -21,6 +22,13 @@
   std::string_view code() const override { return "exchange_invalid"; }
 };
 
+/// Asks another host whether the configuration is current.
+struct freshness_query {
+  query_number Number;
+  /// UDP port of the sender that receives the reply.
+  std::uint16_t ReplyPort = 0;
+};
+
 /// Report that a host sends to others several times a second. At most one of
 /// the optional members is set, and then there are no observations.
 struct host_report {
@@ -30,6 +38,8 @@
   /// For the hosts of the local data centre.
   std::optional<load_aggregate> Aggregate;
   host_state State;
+  std::optional<freshness_query> Query = {};
+  std::optional<freshness_reply> Reply = {};
 };
 
 /// Splits a message into parts that each fit into a report of the given size
--- a/modules/bw_gateway_daemon/peers/exchange_messages_test.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_messages_test.cpp
@@ -18,9 +18,47 @@
   CPPUNIT_TEST(longMessagesAreSplit);
   CPPUNIT_TEST(listsAndConfigurationsRoundTrip);
   CPPUNIT_TEST(rejectsInvalidMessages);
+  CPPUNIT_TEST(carriesQueriesAndReplies);
+  CPPUNIT_TEST(unusableQueriesAndRepliesAreLeftOut);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  void carriesQueriesAndReplies() {
+    host_report Report;
+    Report.Observations.Host = host_id("h1");
+    const std::string Empty = encodeReport(Report);
+    CPPUNIT_ASSERT(!decodeReport(Empty).Query && !decodeReport(Empty).Reply);
+    Report.Query = {.Number = query_number(~0ULL), .ReplyPort = 65'535};
+    // A proof must not become younger on its way.
+    Report.Reply = {.Number = query_number(7),
+                    .Version = config_version(3),
+                    .Age = 1500ms + 1ns};
+    const std::string Bytes = encodeReport(Report);
+    const host_report Read = decodeReport(Bytes);
+    CPPUNIT_ASSERT(Read.Query->Number == query_number(~0ULL));
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t(65'535), Read.Query->ReplyPort);
+    CPPUNIT_ASSERT(Read.Reply == (freshness_reply{.Number = query_number(7),
+                                                  .Version = config_version(3),
+                                                  .Age = 1500ms + 1us}));
+    CPPUNIT_ASSERT(Bytes.size() < 100);
+  }
+
+  // Guards against ages that overflow into the future, and against replies to
+  // another port than the one that was sent.
+  void unusableQueriesAndRepliesAreLeftOut() {
+    for (const std::uint64_t Age :
+         {~0ULL, 1ULL << 63U, 24 * 3600 * 1'000'000ULL + 1}) {
+      exchange::host_report Report;
+      Report.mutable_verify_reply()->set_age(Age);
+      CPPUNIT_ASSERT(!decodeReport(Report.SerializeAsString()).Reply);
+    }
+    for (const std::uint32_t Port : {0U, 65'536U}) {
+      exchange::host_report Report;
+      Report.mutable_verify_query()->set_reply_port(Port);
+      CPPUNIT_ASSERT(!decodeReport(Report.SerializeAsString()).Query);
+    }
+  }
+
   void reportsRoundTrip() {
     const host_report Sent{
         .Observations = {.Host = host_id("h1"),
