Prove the configuration current at the store and through other hosts

Cause: the engine refuses requests with keys without a proof, and nothing gave it one.

Change: platform_state owns configuration_freshness. The follower records a proof at the boot time at which each call was sent, watches for at most a fifth of the bound, and verifies at the store on a host whose proof is older than 0.6 to 0.7 of it. Hosts query each other by datagram, also when idle and before a first request. An invalid configuration in the store ends a watch as Refused and leaves the version before it current. A host that cannot show freshness is not ready; metrics give the proof's age.

--- a/modules/bw_gateway_daemon/decide/gateway_decide_service.cpp
+++ b/modules/bw_gateway_daemon/decide/gateway_decide_service.cpp
@@ -7,6 +7,14 @@
 
 using namespace bw;
 
+namespace {
+
+// A smaller difference between the clocks comes from reading one after the
+// other.
+constexpr duration MinSuspension = std::chrono::milliseconds(1);
+
+} // namespace
+
 gateway_decide_service::gateway_decide_service(runtime_clock &Clock,
                                                gateway_decide_options Options)
     : gateway_event_sink(std::string(ServiceName)), Clock(Clock),
@@ -72,12 +80,24 @@
   Peers->reports().push(std::move(Report));
 }
 
+// The clocks are read in this order, so that the difference is never too large.
+void gateway_decide_service::noticeSuspension(time_point Now,
+                                              gateway_engine::commands &Out) {
+  const duration Boot = Clock.bootNow().time_since_epoch();
+  const duration Total = Boot - Clock.now().time_since_epoch();
+  if (Total < Suspended + MinSuspension)
+    return;
+  Suspended = Total;
+  Engine.handle(time_suspended{.Total = Total}, Now, Out);
+}
+
 void gateway_decide_service::run() {
   gateway_engine::commands Out;
   while (!Events.isClosed()) {
     std::optional<gateway_event> Event =
         Events.pop(std::min(Engine.nextDue(), nextReport()));
     const time_point Now = Clock.now();
+    noticeSuspension(Now, Out);
     // All queued events are processed before the forward service is notified.
     for (; Event; Event = Events.tryPop())
       Engine.handle(*Event, Now, Out);
--- a/modules/bw_gateway_daemon/decide/gateway_decide_service.h
+++ b/modules/bw_gateway_daemon/decide/gateway_decide_service.h
@@ -45,6 +45,7 @@
 
 private:
   void run();
+  void noticeSuspension(time_point Now, gateway_engine::commands &Out);
   bool hasLoad() const;
   time_point nextReport() const;
   void report(time_point Now);
@@ -57,6 +58,8 @@
   gateway_event_ring Events;
   gateway_command_ring *Commands = nullptr;
   peer_report_service *Peers = nullptr;
+  /// Time for which the host was suspended, as last told to the engine.
+  duration Suspended{};
   time_point LastReport{};
   time_point LastAggregate{};
   time_point LastSummary{};
--- a/modules/bw_gateway_daemon/follow/configuration_follower.cpp
+++ b/modules/bw_gateway_daemon/follow/configuration_follower.cpp
@@ -3,8 +3,17 @@
 #include "bw_kernel/log/log_event.h"
 #include "bw_kernel/services/service_registry.h"
 
+#include <algorithm>
+
 using namespace bw;
 
+namespace {
+
+// Wait of a watch that only checks whether the configuration has changed.
+constexpr std::chrono::milliseconds VerifyingWatchTime(1);
+
+} // namespace
+
 configuration_follower::configuration_follower(
     runtime_clock &Clock, configuration_follower_options GivenOptions)
     : service(std::string(ServiceName)), Clock(Clock),
@@ -23,28 +32,62 @@
 }
 
 std::chrono::milliseconds configuration_follower::watchTime() {
-  const auto Span = static_cast<std::uint64_t>(
-      (Options.MaxWatchTime - Options.MinWatchTime).count());
-  return Options.MinWatchTime +
-         std::chrono::milliseconds(Random.below(Span + 1));
+  std::chrono::milliseconds Max = Options.MaxWatchTime;
+  std::chrono::milliseconds Min = Options.MinWatchTime;
+  if (const auto Limit = State->watchLimit()) {
+    Max = std::min(Max, std::chrono::floor<std::chrono::milliseconds>(*Limit));
+    Min = std::min(Min, Max * 3 / 4);
+  }
+  const auto Span = static_cast<std::uint64_t>((Max - Min).count());
+  return Min + std::chrono::milliseconds(Random.below(Span + 1));
 }
 
-bool configuration_follower::isDelegated() {
-  return State->configuration() &&
+bool configuration_follower::isFollowing() {
+  return !State->configuration() ||
          State->withHosts([&](host_directory &Hosts, random_source &) {
-           return !Hosts.followsConfiguration(Clock.now());
+           return Hosts.followsConfiguration(Clock.now());
          });
 }
 
+// A call shows which version was the newest when the call was sent: the store
+// can omit a change that comes later, which only the next call then shows. A
+// configuration that is not valid, or not above the version before, does not
+// come into force, so the version before stays the newest valid one.
+void configuration_follower::recordProof(const configuration_watch &Result,
+                                         bool IsRead, boot_time_point SentAt) {
+  if (IsRead)
+    WatchedVersion.reset();
+  if (Result.End == watch_end::Changed && Result.Configuration)
+    WatchedVersion = std::max(WatchedVersion.value_or(config_version()),
+                              Result.Configuration->Version);
+  if (WatchedVersion)
+    State->recordProof(*WatchedVersion, SentAt);
+}
+
+// A host that verifies its configuration without success, such as an old one
+// that it cannot fetch anew, must not call the store without pause.
+duration configuration_follower::pauseAfterCall(bool IsFollowing) {
+  return IsFollowing || State->untilStoreRead() != duration::zero()
+             ? duration::zero()
+             : Options.RetryPause;
+}
+
 duration configuration_follower::poll() {
-  if (isDelegated()) {
+  const bool IsFollowing = isFollowing();
+  if (!IsFollowing) {
+    const std::optional<duration> Left = State->untilStoreRead();
     // Other hosts report changes in the meantime.
-    Watched.reset();
-    return Options.IdlePause;
+    if (!Left)
+      Watched.reset();
+    if (!Left || *Left > duration::zero())
+      return std::min(Options.IdlePause, Left.value_or(Options.IdlePause));
   }
+  const bool IsRead = !Watched;
+  const boot_time_point SentAt = Clock.bootNow();
   configuration_watch Result =
-      Watched ? Options.Source.WatchConfiguration(*Watched, watchTime())
-              : Options.Source.ReadConfiguration();
+      IsRead ? Options.Source.ReadConfiguration()
+             : Options.Source.WatchConfiguration(
+                   *Watched, IsFollowing ? watchTime() : VerifyingWatchTime);
   const bool WasAvailable = IsAvailable;
   IsAvailable = Result.End != watch_end::Unavailable;
   if (IsAvailable != WasAvailable)
@@ -56,7 +99,12 @@
     Watched = Result.Revision;
     if (Result.Configuration)
       State->offerConfiguration(Result.Configuration);
-    return duration::zero();
+    recordProof(Result, IsRead, SentAt);
+    return pauseAfterCall(IsFollowing);
+  case watch_end::Refused:
+    Watched = Result.Revision;
+    recordProof(Result, IsRead, SentAt);
+    return pauseAfterCall(IsFollowing);
   case watch_end::Unchanged:
     // Before the first configuration is written, the listing still has a
     // revision from which to watch.
@@ -65,7 +113,8 @@
     // The next watch starts at the same revision. The store may omit a change
     // while it discards its history; the next watch then reports the change at
     // once, or that the history is gone.
-    return duration::zero();
+    recordProof(Result, IsRead, SentAt);
+    return pauseAfterCall(IsFollowing);
   case watch_end::HistoryGone:
     Watched.reset();
     return duration::zero();
--- a/modules/bw_gateway_daemon/follow/configuration_follower.h
+++ b/modules/bw_gateway_daemon/follow/configuration_follower.h
@@ -40,8 +40,12 @@
 
 private:
   duration poll();
-  bool isDelegated();
+  /// True if this host follows the store for others, or has no configuration.
+  bool isFollowing();
   std::chrono::milliseconds watchTime();
+  duration pauseAfterCall(bool IsFollowing);
+  void recordProof(const configuration_watch &Result, bool IsRead,
+                   boot_time_point SentAt);
 
   runtime_clock &Clock;
   configuration_follower_options Options;
@@ -49,6 +53,8 @@
   platform_state *State = nullptr;
   /// The revision from which to continue the watch; none if it must be read.
   std::optional<store_revision> Watched;
+  /// The newest valid version at that revision; none if it is not known.
+  std::optional<config_version> WatchedVersion;
   bool IsAvailable = true;
   follower_thread Thread;
 };
--- a/modules/bw_gateway_daemon/follow/platform_source.h
+++ b/modules/bw_gateway_daemon/follow/platform_source.h
@@ -16,6 +16,7 @@
 enum class watch_end : std::uint8_t {
   Changed,     ///< A newer configuration was read.
   Unchanged,   ///< The wait timed out.
+  Refused,     ///< The newest configuration is not valid.
   HistoryGone, ///< The revision is too old to watch from; read again.
   Unavailable, ///< The store did not respond.
 };
--- a/modules/bw_gateway_daemon/follow/platform_state.cpp
+++ b/modules/bw_gateway_daemon/follow/platform_state.cpp
@@ -54,6 +54,17 @@
 // intervals expires no entries.
 constexpr int OutageHeartbeats = 2;
 
+// Greatest share of the revocation bound by which hosts delay reading the store
+// themselves, so that those that read first can answer the others.
+constexpr double ReadDelayShare = 0.1;
+
+configuration_freshness_options
+randomized(configuration_freshness_options Options, random_source &Random) {
+  Options.ReadShare += ReadDelayShare * Random.unit();
+  Options.FirstQuery = query_number(Random.next());
+  return Options;
+}
+
 duration scaled(duration Whole, double Share) {
   return std::chrono::duration_cast<duration>(Whole * Share);
 }
@@ -71,7 +82,8 @@
            .RemoteBackupReadAge =
                scaled(Options.DrainBound, ReadInOtherDataCentreShare),
            .FallbackReadAge = scaled(Options.DrainBound, ReadWhenOlderShare),
-           .ReadSpread = scaled(Options.DrainBound, ReadSpreadShare)}) {}
+           .ReadSpread = scaled(Options.DrainBound, ReadSpreadShare)}),
+      Freshness(randomized(Options.Freshness, Random)) {}
 
 void platform_state::attach(service_registry &Registry) {
   Decide = &Registry.find<gateway_event_sink>(gateway_event_sink::ServiceName)
@@ -116,6 +128,7 @@
   if (!Offered || (Configuration && Offered->Version <= Configuration->Version))
     return;
   Configuration = std::move(Offered);
+  Freshness.setVersion(Configuration->Version, Clock.bootNow());
   Decide->push(configuration_read{Configuration});
   OnConfiguration();
 }
@@ -137,6 +150,7 @@
   const std::lock_guard Guard(Mutex);
   const time_point Now = Clock.now();
   Directory.setOwnState(ownStateLocked(), Now);
+  updateFreshness([&] { Freshness.recordReportedVersion(State.Version); });
   // The first aggregator passes the confirmation on. Without it, the hosts of
   // its data centre would read the list from the store.
   if (Directory.recordReport(Host, State, Now) && Directory.duty(Now).IsFirst)
--- a/modules/bw_gateway_daemon/follow/platform_state.h
+++ b/modules/bw_gateway_daemon/follow/platform_state.h
@@ -1,6 +1,7 @@
 #ifndef BW_GATEWAY_DAEMON_FOLLOW_PLATFORM_STATE_H
 #define BW_GATEWAY_DAEMON_FOLLOW_PLATFORM_STATE_H
 
+#include "bw_customers/freshness/configuration_freshness.h"
 #include "bw_forward/service/forward_rings.h"
 #include "bw_gateway/hosts/host_directory.h"
 #include "bw_gateway_daemon/follow/platform_source.h"
@@ -21,9 +22,19 @@
   /// The platform's limit for the time in which a leaving server may still get
   /// requests; it determines how often the list is read.
   duration DrainBound = std::chrono::seconds(2);
+  /// Until when requests with keys may be served with a configuration. The
+  /// number of the first query and the share at which the store is read are
+  /// chosen at random.
+  configuration_freshness_options Freshness = {};
   std::uint64_t Seed = 1;
 };
 
+/// A query to another host whether the own configuration is current.
+struct verification_query {
+  gateway_host To;
+  query_number Number;
+};
+
 /// The state of the platform and of other hosts as known to this host, from the
 /// store or from other hosts. Receives updates from all followers and forwards
 /// new ones to the decide service. Thread-safe; has no thread of its own.
@@ -60,6 +71,26 @@
   }
   void heard(const host_id &Host, const host_state &State);
 
+  /// Records that no newer version existed when a call to the store was sent.
+  void recordProof(config_version Version, boot_time_point SentAt);
+  /// Returns the queries to send now.
+  std::vector<verification_query> takeQueries();
+  /// When to call `takeQueries` next.
+  time_point nextQuery() const;
+  /// Returns the reply to a query of another host, if there is a proof.
+  std::optional<freshness_reply> answerQuery(query_number Number) const;
+  void recordReply(const freshness_reply &Reply);
+  /// Time until this host should verify its configuration at the store itself;
+  /// nothing if it need not.
+  std::optional<duration> untilStoreRead() const;
+  /// Longest watch of the configuration; nothing if any will do.
+  std::optional<duration> watchLimit() const;
+  /// True unless requests with keys must be refused, as the configuration is
+  /// not known to be current.
+  bool mayServeKeys() const;
+  /// Age of the proof that the configuration is current, if there is one.
+  std::optional<duration> proofAge() const;
+
   const gateway_host &self() const { return Options.Self; }
   host_state ownState() const;
   /// Null or empty if nothing has been read yet.
@@ -77,6 +108,11 @@
 private:
   host_state ownStateLocked() const;
   void applyServers(servers_listed Servers, time_point ReadAt);
+  bool needsProofLocked() const {
+    return Configuration && Configuration->Customers;
+  }
+  /// Changes what is known of the versions and tells the decide service.
+  void updateFreshness(const std::function<void()> &Change);
 
   runtime_clock &Clock;
   platform_state_options Options;
@@ -93,6 +129,7 @@
   list_digest Digest;
   std::optional<time_point> ServersReadAt;
   std::shared_ptr<const gateway_configuration> Configuration;
+  configuration_freshness Freshness;
 };
 
 } // namespace bw
--- a/modules/bw_gateway_daemon/log/decision_log.cpp
+++ b/modules/bw_gateway_daemon/log/decision_log.cpp
@@ -125,10 +125,18 @@
             {"previous", std::to_string(Old.value())}});
 }
 
+void logFreshness(const freshness_change &Change) {
+  logEvent(Change.IsFresh ? log_event::ConfigurationFresh
+                          : log_event::ConfigurationStale,
+           {{"version", std::to_string(Change.Version.value())},
+            {"proof_age_ms", optionalMilliseconds(Change.ProofAge)}});
+}
+
 } // namespace
 
 gateway_observer bw::makeDecisionLog() {
   return {.OnRequest = logRequest,
           .OnServer = logServer,
-          .OnConfiguration = logConfiguration};
+          .OnConfiguration = logConfiguration,
+          .OnFreshness = logFreshness};
 }
--- a/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
+++ b/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
@@ -11,6 +11,7 @@
 const std::string ServerChanges = "bramleywinch_server_changes_total";
 const std::string ConfigurationChanges =
     "bramleywinch_configuration_changes_total";
+const std::string FreshnessChanges = "bramleywinch_freshness_changes_total";
 const std::string Duration = "bramleywinch_request_duration_seconds";
 
 constexpr int FirstServerError = 500;
@@ -99,6 +100,11 @@
           .OnConfiguration =
               [&Metrics](config_version, config_version) {
                 Metrics.count(ConfigurationChanges, {});
+              },
+          .OnFreshness =
+              [&Metrics](const freshness_change &Change) {
+                Metrics.count(FreshnessChanges,
+                              {{"to", Change.IsFresh ? "fresh" : "stale"}});
               }};
 }
 
@@ -121,6 +127,12 @@
            B = Second.OnConfiguration](config_version Old, config_version New) {
             A(Old, New);
             B(Old, New);
+          },
+      .OnFreshness =
+          [A = First.OnFreshness,
+           B = Second.OnFreshness](const freshness_change &Change) {
+            A(Change);
+            B(Change);
           }};
 }
 
@@ -132,6 +144,8 @@
   Metrics.describe(FailedAttempts, "Attempts without a usable answer.");
   Metrics.describe(ServerChanges, "Changes of what is known of servers.");
   Metrics.describe(ConfigurationChanges, "Configurations put in force.");
+  Metrics.describe(FreshnessChanges,
+                   "Changes of whether requests with keys may be served.");
   Metrics.describe(Duration, "From arrival to the decision to hand on.");
   const auto Add = [&](const std::string &Name, const std::string &Help,
                        std::function<double()> Value) {
@@ -151,7 +165,18 @@
   Add("bramleywinch_open_requests", "Requests without an answer.",
       [&D = S.Decide] { return double(D.openRequests()); });
   Add("bramleywinch_ready", "1 when this host takes new callers.",
-      [&D = S.Decide] { return D.isReady() ? 1.0 : 0.0; });
+      [&D = S.Decide, &State = S.State] {
+        return D.isReady() && State.mayServeKeys() ? 1.0 : 0.0;
+      });
+  Add("bramleywinch_keys_served",
+      "1 unless requests with keys are refused as the configuration is stale.",
+      [&State = S.State] { return State.mayServeKeys() ? 1.0 : 0.0; });
+  Add("bramleywinch_configuration_proof_age_seconds",
+      "Since the configuration was known to be current; -1 if it never was.",
+      [&State = S.State] {
+        const auto Age = State.proofAge();
+        return Age ? seconds(*Age) : -1.0;
+      });
   Add("bramleywinch_configuration_version", "Version in force.",
       [&D = S.Decide] { return double(D.version().value()); });
   Add("bramleywinch_server_list_age_seconds",
--- a/modules/bw_gateway_daemon/peers/peer_report_service.cpp
+++ b/modules/bw_gateway_daemon/peers/peer_report_service.cpp
@@ -102,8 +102,10 @@
 
 void peer_report_service::sendAll() {
   while (!Reports.isClosed()) {
-    auto Report = Reports.pop(Clock.now() + Options.DutyCheckInterval);
+    auto Report = Reports.pop(
+        std::min(Clock.now() + Options.DutyCheckInterval, State->nextQuery()));
     updateDuty();
+    sendQueries();
     if (Report && Report->Notice != own_report::notice::None)
       sendNotice(Report->Notice);
     else if (Report)
@@ -237,6 +239,36 @@
   }
 }
 
+// The queries count from when their numbers were given out.
+void peer_report_service::sendQueries() {
+  const std::vector<verification_query> Queries = State->takeQueries();
+  if (Queries.empty())
+    return;
+  host_report Report = makeStateReport();
+  for (const verification_query &Each : Queries) {
+    Report.Query = {.Number = Each.Number,
+                    .ReplyPort = State->self().ReportPort};
+    sendTo({Each.To}, encodeReport(Report));
+  }
+}
+
+// Replies to the address that the query came from, as a new host may not be
+// listed here yet. Uses the socket of the receiving thread.
+void peer_report_service::answerQuery(const freshness_query &Query,
+                                      const std::string &Ip) {
+  host_report Report = makeStateReport();
+  Report.Reply = State->answerQuery(Query.Number);
+  if (!Report.Reply)
+    return;
+  const std::string Bytes = encodeReport(Report);
+  asio::error_code Code;
+  const auto Address = asio::ip::make_address(Ip, Code);
+  // A lost reply is superseded by that to the next query.
+  if (!Code)
+    Socket->Socket.send_to(asio::buffer(Bytes), {Address, Query.ReplyPort}, 0,
+                           Code);
+}
+
 void peer_report_service::receiveAll() {
   while (true) {
     asio::error_code Code;
@@ -250,7 +282,10 @@
     if (Code)
       continue;
     try {
-      handleReport(decodeReport({Socket->Buffer.data(), Size}));
+      host_report Report = decodeReport({Socket->Buffer.data(), Size});
+      if (Report.Query)
+        answerQuery(*Report.Query, From.address().to_string());
+      handleReport(std::move(Report));
     } catch (const exchange_error &Failure) {
       logEvent(log_event::InputMalformed, {{"from", From.address().to_string()},
                                            {"reason", Failure.what()}});
@@ -272,6 +307,8 @@
 void peer_report_service::handleReport(host_report Report) {
   logNewerVersion(Report);
   State->heard(Report.Observations.Host, Report.State);
+  if (Report.Reply)
+    State->recordReply(*Report.Reply);
   if (Report.Summary)
     Decide->push(std::move(*Report.Summary));
   else if (Report.Aggregate)
--- a/modules/bw_gateway_daemon/peers/peer_report_service.h
+++ b/modules/bw_gateway_daemon/peers/peer_report_service.h
@@ -74,6 +74,7 @@
   void sendAll();
   void send(own_report Report);
   void sendNotice(own_report::notice Reach);
+  void sendQueries();
   void updateDuty();
   host_report makeStateReport() const;
   void sendTo(const std::vector<gateway_host> &Targets,
@@ -81,6 +82,7 @@
   void receiveNext();
   void receiveAll();
   void handleReport(host_report Report);
+  void answerQuery(const freshness_query &Query, const std::string &Ip);
   void logNewerVersion(const host_report &Report);
   void fetchNewerState();
 
