Check in the played fleet that no request is sent without its customer

Cause: with the check before further attempts taken out, requests went on without a customer's name, which the fleet counted as requests on public routes.

Change: the fleet fails when a request on a route that needs a key is sent without a name.

--- a/modules/bw_gateway_daemon/revocation/revocation_fleet_test.cpp
+++ b/modules/bw_gateway_daemon/revocation/revocation_fleet_test.cpp
@@ -529,7 +529,10 @@
                               .Outcome = attempt_outcome::Expired});
     return;
   }
+  // Every second request is on a public route.
+  const bool IsPublic = Attempt.Request.value() % 2 == 0;
   if (Attempt.Customer->Name == customer_id()) {
+    CPPUNIT_ASSERT_MESSAGE("sent for no customer", IsPublic);
     ++PublicRequests;
   } else {
     ++Counts.Sent;
