--- a/modules/bw_gateway/customers/customer_gate_test.cpp
+++ b/modules/bw_gateway/customers/customer_gate_test.cpp
@@ -90,6 +90,8 @@
   return {.Presence = key_presence::Present, .Digest = key_digest::of(Key)};
 }
 
+constexpr time_point Now{};
+
 } // namespace
 
 class customer_gate_test : public CppUnit::TestFixture {
@@ -104,14 +106,14 @@
   void admitsCustomersByTheirKeys() {
     for (const gate_case &Case : GateCases) {
       customer_gate Gate;
-      Gate.setConfiguration(configuration(Case.Customers));
+      Gate.setConfiguration(configuration(Case.Customers), Now);
       const gateway_route Route{.Id = route_id("r"),
                                 .Priority = RoutePriority,
                                 .IsPublic = Case.IsPublic};
       // Unreadable credentials have a digest here, so that its use shows.
       const customer_decision Decision = Gate.admit(
           {.Presence = Case.Presence, .Digest = key_digest::of(Case.Key)},
-          Route);
+          Route, Now);
       CPPUNIT_ASSERT_MESSAGE(
           Case.Failure,
           Decision.Refusal ==
@@ -133,21 +135,21 @@
   // customers hold after it was moved.
   void aNewConfigurationReplacesAllKeys() {
     customer_gate Gate;
-    Gate.setConfiguration(configuration(customers_known::Two));
+    Gate.setConfiguration(configuration(customers_known::Two), Now);
     const gateway_route Route{.Id = route_id("r")};
-    CPPUNIT_ASSERT(!Gate.admit(keyOf("k1"), Route).Refusal);
+    CPPUNIT_ASSERT(!Gate.admit(keyOf("k1"), Route, Now).Refusal);
     auto Next = std::make_shared<gateway_configuration>();
     Next->Customers = std::make_shared<const customer_directory>(
         std::vector<customer>{{.Name = customer_id("state"),
                                .Keys = {key_digest::of("k1")},
                                .Priority = {},
                                .Allowance = {}}});
-    Gate.setConfiguration(Next);
-    CPPUNIT_ASSERT(Gate.admit(keyOf("k1"), Route).Customer->Name ==
+    Gate.setConfiguration(Next, Now);
+    CPPUNIT_ASSERT(Gate.admit(keyOf("k1"), Route, Now).Customer->Name ==
                    customer_id("state"));
     for (const char *Withdrawn : {"k2", "k3"})
       CPPUNIT_ASSERT_MESSAGE(Withdrawn,
-                             Gate.admit(keyOf(Withdrawn), Route).Refusal ==
+                             Gate.admit(keyOf(Withdrawn), Route, Now).Refusal ==
                                  refusal_reason::Unauthenticated);
   }
 };
--- a/modules/bw_gateway_daemon/follow/configuration_follower.h
+++ b/modules/bw_gateway_daemon/follow/configuration_follower.h
@@ -43,9 +43,14 @@
 
 private:
   duration poll();
-  duration changed(const configuration_watch &Read);
-  bool isDelegated();
+  /// Puts a configuration in force and notes where the next watch starts.
+  void applyChange(const configuration_watch &Read);
+  /// True if this host follows the store for others, or has no configuration.
+  bool isFollowing();
   std::chrono::milliseconds watchTime();
+  duration pauseAfterCall(bool IsFollowing);
+  void recordProof(const configuration_watch &Result, bool IsRead,
+                   boot_time_point SentAt);
 
   runtime_clock &Clock;
   configuration_follower_options Options;
@@ -53,6 +58,8 @@
   platform_state *State = nullptr;
   /// The revision from which to continue the watch; none if it must be read.
   std::optional<store_revision> Watched;
+  /// The newest valid version at that revision; none if it is not known.
+  std::optional<config_version> WatchedVersion;
   bool IsAvailable = true;
   refusal_reporter Refusals;
   follower_thread Thread;
