--- a/modules/bw_emulator/servers/emulated_server.cpp
+++ b/modules/bw_emulator/servers/emulated_server.cpp
@@ -93,6 +93,7 @@
                          .Label = Label,
                          .Method = Request.Method,
                          .Target = Request.Path,
+                         .Headers = Request.Headers,
                          .Body = Request.Body,
                          .At = Clock.now()};
   const auto Expected = Request.Headers.find(Options.Headers.ExpectedServer);
--- a/modules/bw_emulator/servers/emulated_server.h
+++ b/modules/bw_emulator/servers/emulated_server.h
@@ -24,6 +24,7 @@
   request_label Label;
   std::string Method;
   std::string Target;
+  http_headers Headers;
   std::string Body;
   /// It was declined, with the promise that it never runs.
   bool IsDeclined = false;
--- a/tests/soak/promise_checker.h
+++ b/tests/soak/promise_checker.h
@@ -37,6 +37,8 @@
   std::string Method;
   std::string Target;
   std::string Body;
+  /// Key that the caller presents; empty: none.
+  std::string Key;
   bool IsRepeatable = false;
   /// Services that the configurations allow.
   std::set<service_id> Services;
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -98,6 +98,8 @@
                      Names.RequestLabel + ": " + Request.Label.value() +
                      "\r\n" + Names.Deadline + ": " +
                      std::to_string(milliseconds(Limit)) + "\r\n";
+  if (!Request.Key.empty())
+    Text += "Authorization: Bearer " + Request.Key + "\r\n";
   if (!Request.Body.empty())
     Text += "Content-Length: " + std::to_string(Request.Body.size()) + "\r\n";
   RetryAfter = 0;
