Log the time left of requests with refused keys

Cause: the deadline of a request was set after its admission, so the log of a 401 said time_left_ms=-1357996. The integration test missed it: hosts gather log lines for 250 ms and were killed before they wrote any, so its search for keys in their output searched nothing.

Change: the deadline is set before the admission; the test waits for the log line of a last request to each host.

--- a/modules/bw_gateway/engine/customer_requests_test.cpp
+++ b/modules/bw_gateway/engine/customer_requests_test.cpp
@@ -121,6 +121,7 @@
     CPPUNIT_ASSERT(Decisions.back().Key == key_presence::Absent);
     CPPUNIT_ASSERT(Decisions.back().Route == route_id("/own/"));
     CPPUNIT_ASSERT(Decisions.back().Version == config_version(1));
+    CPPUNIT_ASSERT(Decisions.back().TimeLeft == 3s);
     arrive("/own/1", "k2");
     CPPUNIT_ASSERT(Decisions.back().Key == key_presence::Present);
   }
--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -106,16 +106,16 @@
   Request.Route = Routes.find(Event.VirtualHost, Event.Path);
   if (Request.Route == nullptr)
     return refuse(Found, refusal_reason::NoRoute, Now, Out);
+  duration Wait = Event.CallerTimeout.value_or(Options.DefaultTimeout);
+  if (Request.Route->Timeout)
+    Wait = std::min(Wait, *Request.Route->Timeout);
+  Request.Deadline = Now + Wait;
   const customer_decision Admission =
       Customers.admit(Request.Key, *Request.Route);
   Request.Customer = Admission.Customer;
   Request.Priority = Admission.Priority;
   if (Admission.Refusal)
     return refuse(Found, *Admission.Refusal, Now, Out, Admission.RetryAfter);
-  duration Wait = Event.CallerTimeout.value_or(Options.DefaultTimeout);
-  if (Request.Route->Timeout)
-    Wait = std::min(Wait, *Request.Route->Timeout);
-  Request.Deadline = Now + Wait;
   Request.Service = Splits.try_emplace(Request.Route->Id, Random)
                         .first->second.next(Request.Route->Destinations);
   budgetOf(Request.Service).requestStarted();
--- a/tests/customer_keys_test.cpp
+++ b/tests/customer_keys_test.cpp
@@ -104,8 +104,11 @@
 
   // No output of a host and no request to a server may contain a key.
   void tearDown() override {
-    for (const fleet_host &Each : Hosts)
+    bool IsLogged = true;
+    for (const fleet_host &Each : Hosts) {
+      IsLogged = IsLogged && waitForLog(Each);
       keepOutput(Each);
+    }
     Hosts.clear();
     Server.reset();
     Store.reset();
@@ -118,6 +121,7 @@
     Arrivals.clear();
     std::error_code Ignored;
     std::filesystem::remove_all(Folder, Ignored);
+    CPPUNIT_ASSERT_MESSAGE("a host does not write its log", IsLogged);
     CPPUNIT_ASSERT_MESSAGE("a host has written a key", !IsInOutput);
     CPPUNIT_ASSERT_MESSAGE("a server got a key", !IsAtServer);
   }
@@ -272,6 +276,15 @@
 
   void keepOutput(const fleet_host &Host) { Output += Host.Process->output(); }
 
+  // Hosts gather log lines for some time before they write them.
+  bool waitForLog(const fleet_host &Host) {
+    ask(Host, UnknownKey);
+    const std::string Wanted = "request=" + LastLabel.value() + " ";
+    return harness::waitUntil(
+        [&] { return Host.Process->output().find(Wanted) != Wanted.npos; },
+        WaitLimit);
+  }
+
   // Returns the status of the response; 0 if there is none.
   int ask(const fleet_host &Host, const std::string &Key,
           const std::string &Prefix = "/own/") {
