Explain refusals of customers' requests

Cause: bwctl explain named the reason of a refusal in one word, metrics did not tell unknown keys from missing ones, and no page described keys and allowances.

--- a/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
+++ b/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
@@ -6,6 +6,8 @@
 
 const std::string Requests = "bramleywinch_requests_total";
 const std::string Refusals = "bramleywinch_refusals_total";
+const std::string UnauthenticatedRequests =
+    "bramleywinch_unauthenticated_total";
 const std::string Attempts = "bramleywinch_attempts_total";
 const std::string FailedAttempts = "bramleywinch_failed_attempts_total";
 const std::string ServerChanges = "bramleywinch_server_changes_total";
@@ -74,6 +76,9 @@
   }
   case request_step::Refused:
     Metrics.count(Requests, {{"service", Service}, {"outcome", "refused"}});
+    if (Decision.Reason == refusal_reason::Unauthenticated)
+      Metrics.count(UnauthenticatedRequests,
+                    {{"key", std::string(presenceName(Decision.Key))}});
     return Metrics.count(
         Refusals, {{"reason", std::string(refusalName(Decision.Reason))}});
   case request_step::CallerLeft:
@@ -139,6 +144,8 @@
                           const metric_sources &Sources) {
   Metrics.describe(Requests, "Requests of callers by service and outcome.");
   Metrics.describe(Refusals, "Answers of the host itself by reason.");
+  Metrics.describe(UnauthenticatedRequests,
+                   "Refused keys; present: no customer has the key.");
   Metrics.describe(Attempts, "Requests sent to servers by cause.");
   Metrics.describe(FailedAttempts, "Attempts without a usable answer.");
   Metrics.describe(ServerChanges, "Changes of what is known of servers.");
--- a/modules/bw_reports/logs/request_story.cpp
+++ b/modules/bw_reports/logs/request_story.cpp
@@ -1,5 +1,7 @@
 #include "bw_reports/logs/request_story.h"
 
+#include "bw_reports/logs/refusal_text.h"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -105,9 +107,12 @@
     return fmt::format("Answered with the status {} of server {} after {} ms.",
                        Last.field("status"), Last.field("server"),
                        Last.field("age_ms"));
-  case RequestRefused:
-    return fmt::format("Answered by the host itself after {} ms: {}.",
-                       Last.field("age_ms"), Last.field("reason"));
+  case RequestRefused: {
+    const std::string Text = refusalText(Last);
+    return fmt::format("Answered by the host itself after {} ms: {}.{}{}",
+                       Last.field("age_ms"), Last.field("reason"),
+                       Text.empty() ? "" : "\n", Text);
+  }
   case TransferAborted:
     return fmt::format("The answer of server {} broke off halfway.",
                        Last.field("server"));
--- a/modules/bw_reports/logs/request_story.h
+++ b/modules/bw_reports/logs/request_story.h
@@ -33,7 +33,7 @@
   std::vector<log_record> circumstances() const;
   const std::vector<unreadable_line> &unreadable() const { return Unreadable; }
 
-  /// One sentence on what became of it.
+  /// What became of it; for a refusal with its cause on a second line.
   std::string conclusion() const;
 
 private:
