Let the soak's callers use customers' keys

Cause: the soak named no customers, so no run under faults checked whose requests are served, under which name, and until when.

The checker knows each key's customer and times: no server may see a key or another name, no valid key may get 401 from a host in touch, and no withdrawn key may run at a host in touch after the configuration's bound. The bound for all hosts (Revocation) is checked when set; the runs leave it out until bounds.revoke_fail_closed is there.

--- a/tests/soak/promise_checker.h
+++ b/tests/soak/promise_checker.h
@@ -13,6 +13,9 @@
 
 namespace bw::soak {
 
+/// The threads of the run note a time up to this much late.
+inline constexpr duration Late = std::chrono::milliseconds(100);
+
 /// Bounds of the platform's settings and pages.
 struct promise_bounds {
   duration Drain = std::chrono::seconds(2);
@@ -28,6 +31,11 @@
   double FloorShare = 0.7;
   duration FloorWindow = std::chrono::seconds(2);
   double RecoveredShare = 0.25;
+  /// No withdrawn key runs later, at any host. Set if the settings of the hosts
+  /// have `bounds.revoke_fail_closed`.
+  std::optional<duration> Revocation = {};
+  /// Field in which servers get a customer's name.
+  std::string CustomerField = relay_headers{}.Customer;
 };
 
 /// A request as its caller sends it.
@@ -39,6 +47,8 @@
   std::string Body;
   /// Key that the caller presents; empty: none.
   std::string Key;
+  /// Needs no key.
+  bool IsPublic = false;
   bool IsRepeatable = false;
   /// Services that the configurations allow.
   std::set<service_id> Services;
@@ -94,6 +104,13 @@
   void serverLeaves(const backend_server_id &Server, time_point At);
   void versionAcknowledged(config_version Version, time_point At);
 
+  /// The store has acknowledged the first version with the key; the zero time
+  /// if all versions have it.
+  void keyWritten(const std::string &Key, const customer_id &Customer,
+                  time_point At);
+  /// The store has acknowledged a version without the key.
+  void keyWithdrawn(const std::string &Key, time_point At);
+
   /// Checks what holds over windows; about twice a second.
   void checkWindows(time_point Now);
   /// Requests asked between the two times must mostly be served.
@@ -105,6 +122,8 @@
   std::vector<violation> violations() const;
   std::size_t requests() const;
   std::size_t served() const;
+  /// Requests that were answered with 401.
+  std::size_t unauthenticated() const;
 
 private:
   struct interval {
@@ -131,6 +150,11 @@
     std::optional<time_point> Leaves;
     std::vector<interval> Disturbed;
   };
+  struct key_record {
+    customer_id Customer;
+    time_point Written{};
+    std::optional<time_point> Withdrawn = {};
+  };
   struct arrival_record {
     time_point At;
     service_id Service;
@@ -145,6 +169,9 @@
   void add(const std::string &Promise, const std::string &Text,
            const request_label &Label, time_point At);
   void checkArrival(const server_arrival &Arrival, request_record &Record);
+  void checkCustomer(const server_arrival &Arrival, const asked_request &Asked);
+  void checkUnauthenticated(const seen_answer &Answer,
+                            const request_record &Record);
   void checkContent(const seen_answer &Answer, const request_record &Record);
   void checkVersion(const seen_answer &Answer, const request_record &Record);
   void checkLoss(const seen_answer &Answer, const request_record &Record);
@@ -159,10 +186,12 @@
   std::map<host_id, host_record> Hosts;
   std::map<backend_server_id, server_record> Servers;
   std::map<config_version, time_point> Versions;
+  std::map<std::string, key_record> Keys;
   std::vector<interval> StoreDisturbed;
   std::deque<arrival_record> Arrivals;
   std::vector<violation> Violations;
   std::size_t Served = 0;
+  std::size_t UnauthenticatedCount = 0;
 };
 
 } // namespace bw::soak
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -26,6 +26,7 @@
   std::vector<std::string> LogLines;
   std::size_t Requests = 0;
   std::size_t Served = 0;
+  std::size_t Unauthenticated = 0;
   std::size_t Faults = 0;
 };
 
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_ASSERT(printResult(Options, Result));
     // A run that asks nothing checks nothing.
     CPPUNIT_ASSERT(Result.Served > 300 && Result.Faults > 0);
+    CPPUNIT_ASSERT(Result.Unauthenticated > 0);
   }
 };
 
