Look up keys again before each attempt

Cause: a retry or hedge was sent with the customer that was found when the request arrived, also after a configuration had withdrawn the key or moved it to another customer, which docs/design/customer-keys.md excludes.

Change: startAttempt identifies the key in the configuration in force. A withdrawn key ends the request with 401 if nothing has run, else as unknown; a moved key gets the new name. customer_gate::identify changes nothing, so that admission may.

--- a/modules/bw_gateway/customers/customer_gate.cpp
+++ b/modules/bw_gateway/customers/customer_gate.cpp
@@ -11,6 +11,11 @@
 
 customer_decision customer_gate::admit(const presented_key &Key,
                                        const gateway_route &Route) {
+  return identify(Key, Route);
+}
+
+customer_decision customer_gate::identify(const presented_key &Key,
+                                          const gateway_route &Route) const {
   customer_decision Result{.Priority = Route.Priority};
   if (!Configuration || !Configuration->Customers)
     return Result;
--- a/modules/bw_gateway/customers/customer_gate.h
+++ b/modules/bw_gateway/customers/customer_gate.h
@@ -32,6 +32,11 @@
   void
   setConfiguration(std::shared_ptr<const gateway_configuration> Configuration);
 
+  /// Returns whose request it is by the configuration in force, and whether its
+  /// key still admits it. Changes nothing.
+  customer_decision identify(const presented_key &Key,
+                             const gateway_route &Route) const;
+
   /// Decides on a request that has arrived.
   customer_decision admit(const presented_key &Key, const gateway_route &Route);
 
--- a/modules/bw_gateway/engine/customer_requests_test.cpp
+++ b/modules/bw_gateway/engine/customer_requests_test.cpp
@@ -23,12 +23,44 @@
           .IsPublic = IsPublic};
 }
 
-configuration_read configuration(std::uint64_t Version, const char *Key) {
+// What happens to a request of the county with the key k1 whose first attempt
+// ends after the configuration has changed.
+struct second_attempt_case {
+  const char *Failure;
+  attempt_outcome Outcome;
+  /// Customer and key of the new configuration; no customers if null.
+  const char *Name;
+  const char *Key;
+  /// Name for the second attempt; null if there is none.
+  const char *Forwarded;
+  refusal_reason Refusal = refusal_reason::Unknown;
+};
+
+const second_attempt_case SecondAttemptCases[] = {
+    {"a retry of a valid key is refused", attempt_outcome::NotExecuted,
+     "county", "k1", "county"},
+    {"a retry uses a withdrawn key", attempt_outcome::NotExecuted, "county",
+     "k2", nullptr, refusal_reason::Unauthenticated},
+    {"a request that was not sent uses a withdrawn key",
+     attempt_outcome::NotSent, "county", "k2", nullptr,
+     refusal_reason::Unauthenticated},
+    {"a request that may have run is called unauthenticated",
+     attempt_outcome::Broken, "county", "k2", nullptr, refusal_reason::Unknown},
+    {"a retry names the customer that had the key",
+     attempt_outcome::NotExecuted, "state", "k1", "state"},
+    {"a retry passes on the key", attempt_outcome::NotExecuted, nullptr,
+     nullptr, "county"},
+};
+
+configuration_read configuration(std::uint64_t Version, const char *Key,
+                                 const char *Name = "county") {
   auto Result = std::make_shared<gateway_configuration>();
   Result->Version = config_version(Version);
   Result->Routes = {route("/own/", false), route("/open/", true)};
+  if (Name == nullptr)
+    return {Result};
   Result->Customers = std::make_shared<const customer_directory>(
-      std::vector<customer>{{.Name = customer_id("county"),
+      std::vector<customer>{{.Name = customer_id(Name),
                              .Keys = {key_digest::of(Key)},
                              .Priority = {},
                              .Allowance = {}}});
@@ -43,6 +75,7 @@
   CPPUNIT_TEST(unknownKeysReachNoServer);
   CPPUNIT_TEST(allAttemptsNameTheCustomer);
   CPPUNIT_TEST(withdrawnKeysAreRefusedInTheNextRequest);
+  CPPUNIT_TEST(keysAreCheckedBeforeEachAttempt);
   CPPUNIT_TEST(decisionsNameCustomerAndReason);
   CPPUNIT_TEST_SUITE_END();
 
@@ -110,6 +143,32 @@
                    refusal_reason::Unauthenticated);
   }
 
+  // Guards against retries of a request whose key was withdrawn or moved, and
+  // against 401 for a request that may have run.
+  void keysAreCheckedBeforeEachAttempt() {
+    for (const second_attempt_case &Case : SecondAttemptCases) {
+      setUp();
+      configure("k1");
+      const auto First = only<start_attempt>(arrive("/own/1", "k1"));
+      handle(configuration(2, Case.Key, Case.Name));
+      const auto Out = handle(attempt_ended{.Request = First.Request,
+                                            .Attempt = First.Attempt,
+                                            .Outcome = Case.Outcome});
+      if (Case.Forwarded == nullptr) {
+        const auto Refused = only<refuse_request>(Out);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Case.Failure,
+                                     std::string(refusalName(Case.Refusal)),
+                                     std::string(refusalName(Refused.Reason)));
+        CPPUNIT_ASSERT_MESSAGE(Case.Failure, !Refused.RetryAfter);
+        continue;
+      }
+      const auto Second = only<start_attempt>(Out);
+      CPPUNIT_ASSERT_MESSAGE(Case.Failure, Second.Customer.has_value());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Case.Failure, std::string(Case.Forwarded),
+                                   Second.Customer->Name.value());
+    }
+  }
+
   // Guards against a log that cannot tell why a request got 401.
   void decisionsNameCustomerAndReason() {
     configure("k1");
--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -140,10 +140,22 @@
   Requests.erase(Found);
 }
 
+bool gateway_engine::hasValidKey(request_state &Request) const {
+  const customer_decision Known =
+      Customers.identify(Request.Key, *Request.Route);
+  Request.KeyRefusal = Known.Refusal;
+  // A configuration without customers must not pass on a key that an earlier
+  // one has recognised.
+  if (!Known.Refusal && Known.Customer)
+    Request.Customer = Known.Customer;
+  return !Known.Refusal;
+}
+
 bool gateway_engine::startAttempt(request_number Number, request_state &Request,
                                   request_step Step, time_point Now,
                                   commands &Out) {
-  if (Request.Deadline - Now < MinTimeLeft || !endsBeforeStop(Request))
+  if (Request.Deadline - Now < MinTimeLeft || !endsBeforeStop(Request) ||
+      !hasValidKey(Request))
     return false;
   const bool IsFinalAttempt =
       Request.Route->Execution == execution_rule::AtMostOnce ||
@@ -313,8 +325,9 @@
   if (Request.HeldAnswer)
     return relay(Found, *Request.HeldAnswer, Now, Out);
   refuse(Found,
-         Request.MayHaveRun ? refusal_reason::Unknown
-                            : refusal_reason::NotExecuted,
+         Request.MayHaveRun
+             ? refusal_reason::Unknown
+             : Request.KeyRefusal.value_or(refusal_reason::NotExecuted),
          Now, Out);
 }
 
--- a/modules/bw_gateway/engine/gateway_engine.h
+++ b/modules/bw_gateway/engine/gateway_engine.h
@@ -103,6 +103,8 @@
     bool IsReplayable = true;
     presented_key Key;
     std::optional<forwarded_customer> Customer;
+    /// Set when the key has been withdrawn since the request arrived.
+    std::optional<refusal_reason> KeyRefusal;
     /// 0 is the most urgent.
     std::uint32_t Priority = 0;
     /// An attempt may have been executed.
@@ -139,6 +141,9 @@
   void on(const hosts_counted &Event, time_point Now, commands &Out);
   void on(const stop_began &Event, time_point Now, commands &Out);
 
+  /// Looks the request's key up in the configuration in force; false if it was
+  /// withdrawn.
+  bool hasValidKey(request_state &Request) const;
   bool startAttempt(request_number Number, request_state &Request,
                     request_step Step, time_point Now, commands &Out);
   void answered(request_map::iterator Found, const attempt_ended &Event,
