--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -109,16 +109,16 @@
   Request.Route = Routes.find(Event.VirtualHost, Event.Path);
   if (Request.Route == nullptr)
     return refuse(Found, Customers.unknownRouteRefusal(Now), Now, Out);
+  duration Wait = Event.CallerTimeout.value_or(Options.DefaultTimeout);
+  if (Request.Route->Timeout)
+    Wait = std::min(Wait, *Request.Route->Timeout);
+  Request.Deadline = Now + Wait;
   const customer_decision Admission =
       Customers.admit(Request.Key, *Request.Route, Now);
   Request.Customer = Admission.Customer;
   Request.Priority = Admission.Priority;
   if (Admission.Refusal)
     return refuse(Found, *Admission.Refusal, Now, Out, Admission.RetryAfter);
-  duration Wait = Event.CallerTimeout.value_or(Options.DefaultTimeout);
-  if (Request.Route->Timeout)
-    Wait = std::min(Wait, *Request.Route->Timeout);
-  Request.Deadline = Now + Wait;
   Request.Service = Splits.try_emplace(Request.Route->Id, Random)
                         .first->second.next(Request.Route->Destinations);
   budgetOf(Request.Service).requestStarted();
@@ -243,15 +243,13 @@
       Pool.addEvidence(Ended->Server, 0, declinedWeight(Request.Service), Now);
     break;
   case attempt_outcome::NotSent:
-    // A failed connect does not count as an attempt of the request.
-    --Request.Attempts;
-    ++Request.ConnectFailures;
-    Pool.addPathFailure(Ended->Server, Now);
-    break;
   case attempt_outcome::Expired:
-    // Says nothing about the server or the path to it.
+    // What was not sent does not count as an attempt of the request. An expired
+    // attempt says nothing about the path to the server.
     --Request.Attempts;
     ++Request.ConnectFailures;
+    if (Event.Outcome == attempt_outcome::NotSent)
+      Pool.addPathFailure(Ended->Server, Now);
     break;
   case attempt_outcome::Broken:
     Request.MayHaveRun = true;
