--- a/modules/bw_core/ids/identifiers.h
+++ b/modules/bw_core/ids/identifiers.h
@@ -38,6 +38,9 @@
 /// Version of one object in the platform's service. 0 means absent.
 using object_version = strong_number<struct object_version_tag>;
 
+/// Sequence number of a host's reports to other hosts.
+using report_number = strong_number<struct report_number_tag, std::uint32_t>;
+
 /// One start of a daemon on a host.
 struct daemon_id {
   host_id Host;
