--- a/modules/bw_customers/allowances/demand_exchange.cpp
+++ b/modules/bw_customers/allowances/demand_exchange.cpp
@@ -72,16 +72,17 @@
   }
   if (Confirmed && Now - ConfirmedAt >= HeldAfter &&
       Now - Confirmed->SentAt < Validity)
-    for (const auto &[Customer, Rate] : Confirmed->Asked) {
+    for (const auto &Held : Confirmed->Asked) {
       const auto Found =
           std::find_if(Own.begin(), Own.end(), [&](const auto &Each) {
-            return Each.Customer == Customer;
+            return Each.Customer == Held.first;
           });
       if (Found == Own.end())
-        Own.push_back(
-            {.Customer = Customer, .Asked = request_rate(0), .Held = Rate});
-      else if (Rate > Found->Asked)
-        Found->Held = Rate;
+        Own.push_back({.Customer = Held.first,
+                       .Asked = request_rate(0),
+                       .Held = Held.second});
+      else if (Held.second > Found->Asked)
+        Found->Held = Held.second;
     }
   while (!Reported.empty() && Now - Reported.front().SentAt >= Validity)
     Reported.pop_front();
--- a/modules/bw_customers/allowances/demand_exchange.h
+++ b/modules/bw_customers/allowances/demand_exchange.h
@@ -60,6 +60,9 @@
   /// or for this long, in which each of them sends a message.
   static constexpr duration WarmUp = std::chrono::milliseconds(800);
 
+  /// Number of hosts until it is known. A small number would let each of many
+  /// hosts that start together use all of a rate.
+  static constexpr std::uint32_t AssumedHosts = 32;
   /// Most customers in a message, so that it fits a datagram with names of up
   /// to 40 bytes.
   static constexpr std::size_t MaxCustomers = 700;
@@ -161,7 +164,7 @@
 
   demand_exchange_options Options;
   allowance_shares Shares;
-  std::uint32_t Hosts = 1;
+  std::uint32_t Hosts = AssumedHosts;
   bool IsAggregator = false;
   time_point AggregatorSince{};
   std::map<host_id, sender> LocalHosts;
--- a/modules/bw_customers/allowances/host_allowances.cpp
+++ b/modules/bw_customers/allowances/host_allowances.cpp
@@ -122,7 +122,11 @@
                             .Share = Record.Bucket.share().Rate,
                             .Total =
                                 Confirmed ? Confirmed->Total : request_rate(0)};
-  Record.Admitted += Result.IsAdmitted ? 1 : 0;
+  // The reported count only rises, as a lower one stands for a restart.
+  if (Result.IsAdmitted && Record.Returned > 0)
+    --Record.Returned;
+  else if (Result.IsAdmitted)
+    ++Record.Admitted;
   if (!Result.IsAdmitted)
     Result.RetryAfter =
         retryAfter(Record, Confirmed && Confirmed->Own > request_rate(0), Now);
@@ -140,8 +144,10 @@
 
 void host_allowances::giveBack(const customer_id &Customer, time_point Now) {
   const auto Found = Records.find(Customer);
-  if (Found != Records.end())
-    Found->second.Bucket.giveBack(Now);
+  if (Found == Records.end())
+    return;
+  Found->second.Bucket.giveBack(Now);
+  ++Found->second.Returned;
 }
 
 bool host_allowances::hasDemand(time_point Now) const {
--- a/modules/bw_customers/allowances/host_allowances.h
+++ b/modules/bw_customers/allowances/host_allowances.h
@@ -84,6 +84,8 @@
     /// reported.
     double Admitted = 0;
     double ReportedAdmitted = 0;
+    /// Admitted requests that did not run and whose tokens were not used again.
+    double Returned = 0;
   };
 
   const customer_allowance *allowanceOf(const customer_id &Customer) const;
@@ -102,7 +104,7 @@
   random_source Random;
   std::shared_ptr<const customer_directory> Customers;
   bool HasLimits = false;
-  std::uint32_t Hosts = 1;
+  std::uint32_t Hosts = demand_exchange::AssumedHosts;
   duration Suspended{};
   bool HasReportedDemand = false;
   std::unordered_map<customer_id, record> Records;
