Refuse requests above a customer's allowance, and exchange demand between hosts

Cause: the gateway admitted every request with a known key, whatever the rate of its customer, and hosts did not tell each other the demand of customers.

Change: customer_gate takes a token for a new request and refuses with OverAllowance and the time until the next token; the engine returns the token once for a refusal that says not run. There, a host without load reports every 600 ms, so that others know that it is reachable, and an aggregator that takes over sends summaries too.

Not tried with real processes.

--- a/modules/bw_gateway/bw_gateway.h
+++ b/modules/bw_gateway/bw_gateway.h
@@ -9,6 +9,7 @@
 #ifndef BW_GATEWAY_BW_GATEWAY_H
 #define BW_GATEWAY_BW_GATEWAY_H
 
+#include "bw_gateway/customers/customer_allowances.h"
 #include "bw_gateway/customers/customer_gate.h"
 #include "bw_gateway/engine/gateway_engine.h"
 #include "bw_gateway/messages/gateway_commands.h"
--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -57,10 +57,33 @@
 
 gateway_engine::gateway_engine(gateway_engine_options GivenOptions)
     : Options(std::move(GivenOptions)), Random(Options.Seed),
-      Pool(Options.Pool), Hosts(AssumedHosts) {
+      Pool(Options.Pool), Customers({.Self = Options.Pool.Self,
+                                     .DataCentre = Options.Pool.OwnDataCentre,
+                                     .Bounds = Options.Allowances,
+                                     .Seed = Options.Seed}),
+      Hosts(AssumedHosts) {
   Pool.setHosts({.Hosts = Hosts, .LocalHosts = Hosts});
 }
 
+peer_reported gateway_engine::takeReport(time_point Now) {
+  peer_reported Result = Pool.exchange().takeReport(Pool.ownLoad());
+  Customers.allowances().addTo(Result, Now);
+  return Result;
+}
+
+load_aggregate gateway_engine::takeAggregate(bool WithLoad, time_point Now) {
+  load_aggregate Result =
+      Pool.exchange().takeAggregate(Pool.ownLoad(), WithLoad);
+  Customers.allowances().addTo(Result, Now);
+  return Result;
+}
+
+load_summary gateway_engine::takeSummary(bool WithLoad, time_point Now) {
+  load_summary Result = Pool.exchange().takeSummary(Pool.ownLoad(), WithLoad);
+  Customers.allowances().addTo(Result, Now);
+  return Result;
+}
+
 config_version gateway_engine::version() const {
   return Configuration ? Configuration->Version : config_version();
 }
@@ -107,9 +130,12 @@
   if (Request.Route == nullptr)
     return refuse(Found, refusal_reason::NoRoute, Now, Out);
   const customer_decision Admission =
-      Customers.admit(Request.Key, *Request.Route);
+      Customers.admit(Request.Key, *Request.Route, Now);
   Request.Customer = Admission.Customer;
   Request.Priority = Admission.Priority;
+  Request.HoldsToken = Admission.HoldsToken;
+  if (Admission.Allowance)
+    Options.Observer.OnAllowance(Request.Customer->Name, *Admission.Allowance);
   if (Admission.Refusal)
     return refuse(Found, *Admission.Refusal, Now, Out, Admission.RetryAfter);
   duration Wait = Event.CallerTimeout.value_or(Options.DefaultTimeout);
@@ -401,6 +427,8 @@
   if (Found == Requests.end())
     return;
   report(Found->second, {.Step = request_step::CallerLeft}, Now);
+  if (!Found->second.MayHaveRun && Found->second.Open.empty())
+    returnToken(Found->second, Now);
   cancelOpen(Event.Request, Found->second, Out);
   finish(Found);
 }
@@ -409,15 +437,26 @@
                             time_point Now, commands &Out,
                             std::optional<duration> RetryAfter) {
   request_state &Request = Found->second;
+  if (Reason != refusal_reason::Unknown && Reason != refusal_reason::Timeout)
+    returnToken(Request, Now);
   cancelOpen(Found->first, Request, Out);
   if (!RetryAfter && mayComeBack(Reason))
     RetryAfter = retryAfter(Request.Service, Reason, Now);
   Out.push_back(refuse_request{
       .Request = Found->first, .Reason = Reason, .RetryAfter = RetryAfter});
-  report(Request, {.Step = request_step::Refused, .Reason = Reason}, Now);
+  report(Request,
+         {.Step = request_step::Refused,
+          .Reason = Reason,
+          .RetryAfter = RetryAfter},
+         Now);
   finish(Found);
 }
 
+void gateway_engine::returnToken(request_state &Request, time_point Now) {
+  if (std::exchange(Request.HoldsToken, false))
+    Customers.allowances().giveBack(Request.Customer->Name, Now);
+}
+
 bool gateway_engine::mayComeBack(refusal_reason Reason) {
   switch (Reason) {
   case refusal_reason::Unknown:
@@ -557,14 +596,13 @@
 
 void gateway_engine::on(const configuration_read &Event, time_point Now,
                         commands &Out) {
-  static_cast<void>(Now);
   // An outdated answer or a slow peer must not restore an older configuration.
   if (!Event.Configuration || Event.Configuration->Version <= version())
     return;
   Options.Observer.OnConfiguration(version(), Event.Configuration->Version);
   Configuration = Event.Configuration;
   Routes = host_routes(*Configuration);
-  Customers.setConfiguration(Configuration);
+  Customers.setConfiguration(Configuration, Now);
   Out.push_back(limits_changed{Configuration->Limits});
 }
 
@@ -572,34 +610,37 @@
                         commands &Out) {
   static_cast<void>(Out);
   Pool.peerReported(Event, Now);
+  Customers.allowances().receive(Event, Now);
 }
 
 void gateway_engine::on(const load_summary &Event, time_point Now,
                         commands &Out) {
   static_cast<void>(Out);
   Pool.summaryReported(Event, Now);
+  Customers.allowances().receive(Event, Now);
 }
 
 void gateway_engine::on(const load_aggregate &Event, time_point Now,
                         commands &Out) {
   static_cast<void>(Out);
   Pool.aggregateReported(Event, Now);
+  Customers.allowances().receive(Event, Now);
 }
 
 void gateway_engine::on(const exchange_duty &Event, time_point Now,
                         commands &Out) {
-  static_cast<void>(Now);
   static_cast<void>(Out);
   Pool.exchange().setDuty(Event);
+  Customers.allowances().setDuty(Event, Now);
 }
 
 void gateway_engine::on(const hosts_counted &Event, time_point Now,
                         commands &Out) {
-  static_cast<void>(Now);
   static_cast<void>(Out);
   if (Event.Hosts == 0 || Event.LocalHosts == 0)
     return;
   Pool.setHosts(Event);
+  Customers.allowances().setHosts(Event, Now);
   if (Event.Hosts == Hosts)
     return;
   Hosts = Event.Hosts;
--- a/modules/bw_gateway/engine/gateway_engine.h
+++ b/modules/bw_gateway/engine/gateway_engine.h
@@ -30,6 +30,8 @@
   double RetrySlack = 56;
   /// Time limit for requests whose caller sends none.
   duration DefaultTimeout = std::chrono::seconds(30);
+  /// Bounds of the allowances of customers; nothing if they are not enforced.
+  std::optional<allowance_bounds> Allowances = {};
   gateway_observer Observer = {};
 };
 
@@ -49,15 +51,12 @@
   time_point nextDue() const;
 
   /// Returns the report of this host for the aggregators.
-  peer_reported takeReport() {
-    return Pool.exchange().takeReport(Pool.ownLoad());
-  }
+  peer_reported takeReport(time_point Now);
   /// As in `load_exchange`, including this host's own load.
-  load_aggregate takeAggregate(bool WithLoad) {
-    return Pool.exchange().takeAggregate(Pool.ownLoad(), WithLoad);
-  }
-  load_summary takeSummary(bool WithLoad) {
-    return Pool.exchange().takeSummary(Pool.ownLoad(), WithLoad);
+  load_aggregate takeAggregate(bool WithLoad, time_point Now);
+  load_summary takeSummary(bool WithLoad, time_point Now);
+  const customer_allowances &allowances() const {
+    return Customers.allowances();
   }
   const load_exchange &exchange() const { return Pool.exchange(); }
 
@@ -105,6 +104,8 @@
     std::optional<forwarded_customer> Customer;
     /// 0 is the most urgent.
     std::uint32_t Priority = 0;
+    /// Holds a token of the customer's allowance.
+    bool HoldsToken = false;
     /// An attempt may have been executed.
     bool MayHaveRun = false;
     /// Set while an answer is being relayed.
@@ -157,6 +158,8 @@
               std::optional<duration> RetryAfter = std::nullopt);
   void endWithoutRetry(request_map::iterator Found, time_point Now,
                        commands &Out);
+  /// Returns the token of a request that no server ran.
+  void returnToken(request_state &Request, time_point Now);
   void schedule(request_state &Request, timer Timer);
   void finish(request_map::iterator Found);
   void handleTimer(const timer &Timer, time_point Now, commands &Out);
--- a/modules/bw_gateway/engine/gateway_log.h
+++ b/modules/bw_gateway/engine/gateway_log.h
@@ -1,6 +1,7 @@
 #ifndef BW_GATEWAY_ENGINE_GATEWAY_LOG_H
 #define BW_GATEWAY_ENGINE_GATEWAY_LOG_H
 
+#include "bw_customers/allowances/host_allowances.h"
 #include "bw_gateway/messages/gateway_commands.h"
 #include "bw_gateway/servers/server_pool.h"
 
@@ -38,6 +39,8 @@
   /// Outcome of the attempt that led to the decision.
   attempt_outcome Outcome = attempt_outcome::Answered;
   refusal_reason Reason = refusal_reason::Unknown;
+  /// When the caller of a refused request may retry.
+  std::optional<duration> RetryAfter = {};
   /// Time since the request arrived.
   duration Age{};
   /// Time until its deadline, if a route was found.
@@ -56,6 +59,9 @@
   };
   std::function<void(config_version Old, config_version New)> OnConfiguration =
       [](config_version, config_version) {};
+  /// A request of a customer with a limit was admitted or refused.
+  std::function<void(const customer_id &, const allowance_decision &)>
+      OnAllowance = [](const customer_id &, const allowance_decision &) {};
 };
 
 } // namespace bw
--- a/modules/bw_gateway/engine/load_pattern_test.cpp
+++ b/modules/bw_gateway/engine/load_pattern_test.cpp
@@ -305,7 +305,7 @@
       const bool IsUrgent = Engine.exchange().hasUnreportedFailure();
       if (!IsRegular && !IsUrgent)
         continue;
-      peer_reported Report = Engine.takeReport();
+      peer_reported Report = Engine.takeReport(Now);
       Report.IsBroadcast = IsUrgent;
       for (int To = From % DataCentreCount; To < Pattern.Hosts;
            To += DataCentreCount)
@@ -322,13 +322,13 @@
     SummaryDue = !SummaryDue;
     for (int From = 0; From < DataCentreCount; ++From) {
       gateway_engine &Engine = *Engines[std::size_t(From)];
-      const load_aggregate Sums = Engine.takeAggregate(true);
+      const load_aggregate Sums = Engine.takeAggregate(true, Now);
       for (int To = From + DataCentreCount; To < Pattern.Hosts;
            To += DataCentreCount)
         handle(To, Sums);
       if (!SummaryDue && !Engine.exchange().hasFailureForRemote())
         continue;
-      const load_summary Summary = Engine.takeSummary(SummaryDue);
+      const load_summary Summary = Engine.takeSummary(SummaryDue, Now);
       for (int To = 0; To < DataCentreCount; ++To)
         if (To != From)
           handle(To, Summary);
--- a/modules/bw_gateway/messages/gateway_events.h
+++ b/modules/bw_gateway/messages/gateway_events.h
@@ -3,6 +3,7 @@
 
 #include "bw_core/ids/identifiers.h"
 #include "bw_core/ids/time.h"
+#include "bw_customers/allowances/demand_messages.h"
 #include "bw_customers/keys/presented_key.h"
 #include "bw_gateway/messages/gateway_configuration.h"
 #include "bw_membership/servers/server_directory.h"
@@ -121,9 +122,6 @@
   std::optional<server_statement> Statement = {};
 };
 
-/// Sequence number of a host's reports.
-using report_number = strong_number<struct report_number_tag, std::uint32_t>;
-
 /// A report of another host of the data centre.
 struct peer_reported {
   host_id Host;
@@ -134,6 +132,8 @@
   /// forward it there.
   bool IsBroadcast = false;
   std::vector<server_report> Servers;
+  /// Demand of customers with a limit.
+  std::vector<customer_demand> Demands = {};
 };
 
 /// Number of a message about the load of many servers. The parts of a message
@@ -149,6 +149,8 @@
   bool HasLoad = true;
   std::vector<server_report> Servers;
   message_round Round = {};
+  /// Only with load, in the first part, and if customers have limits.
+  std::optional<demand_summary> Demand = {};
 };
 
 /// In-flight requests of all hosts at one server, and the new outcomes there.
@@ -172,6 +174,8 @@
   /// the first part only.
   std::vector<std::pair<host_id, report_number>> Included;
   message_round Round = {};
+  /// Only with load, in the first part, and if customers have limits.
+  std::optional<demand_totals> Demand = {};
 };
 
 /// Role of this host in the exchange of load reports.
--- a/modules/bw_gateway_daemon/decide/gateway_decide_service.cpp
+++ b/modules/bw_gateway_daemon/decide/gateway_decide_service.cpp
@@ -13,7 +13,7 @@
       ReportInterval(Options.ReportInterval),
       UrgentInterval(Options.UrgentInterval),
       SummaryInterval(Options.SummaryInterval),
-      Engine(std::move(Options.Engine)),
+      IdleInterval(Options.IdleInterval), Engine(std::move(Options.Engine)),
       // Events must not be lost, as each may free a slot or complete a request.
       Events(Clock, {.Capacity = Options.EventCapacity,
                      .Overflow = overflow_policy::Block}) {}
@@ -38,7 +38,8 @@
 }
 
 bool gateway_decide_service::hasLoad() const {
-  return Engine.openRequests() > 0 || Engine.exchange().hasLocalLoad();
+  return Engine.openRequests() > 0 || Engine.exchange().hasLocalLoad() ||
+         Engine.allowances().hasDemand(Clock.now());
 }
 
 time_point gateway_decide_service::nextReport() const {
@@ -46,6 +47,10 @@
     return LastReport + UrgentInterval;
   if (hasLoad() || HasReportedLoad)
     return LastReport + ReportInterval;
+  // Without reports of idle hosts, the others would take them for unreachable,
+  // and they would not know their shares when requests come.
+  if (Engine.allowances().isActive())
+    return LastReport + IdleInterval;
   return time_point::max();
 }
 
@@ -56,15 +61,17 @@
   LastReport = Now;
   own_report Report{.Summary = {},
                     .Aggregate = {},
-                    .Observations = Engine.takeReport(),
+                    .Observations = Engine.takeReport(Now),
                     .IsUrgent = IsUrgent};
   if (Exchange.sendsAggregates(Now) && Now - LastAggregate >= ReportInterval) {
     LastAggregate = Now;
-    Report.Aggregate = Engine.takeAggregate(true);
+    Report.Aggregate = Engine.takeAggregate(true, Now);
     const bool IsSummaryDue = Now - LastSummary >= SummaryInterval;
-    if (Exchange.duty().IsFirst &&
+    // The second aggregator takes over the summaries as well where customers
+    // have limits: others would take the data centre for unreachable.
+    if ((Exchange.duty().IsFirst || Engine.allowances().isActive()) &&
         (IsSummaryDue || Exchange.hasFailureForRemote())) {
-      Report.Summary = Engine.takeSummary(IsSummaryDue);
+      Report.Summary = Engine.takeSummary(IsSummaryDue, Now);
       if (IsSummaryDue)
         LastSummary = Now;
     }
--- a/modules/bw_gateway_daemon/decide/gateway_decide_service.h
+++ b/modules/bw_gateway_daemon/decide/gateway_decide_service.h
@@ -21,6 +21,8 @@
   /// Interval of load summaries from the first aggregator to the aggregators of
   /// other data centres.
   duration SummaryInterval = std::chrono::milliseconds(300);
+  /// Interval of reports of a host without load where customers have limits.
+  duration IdleInterval = std::chrono::milliseconds(600);
 };
 
 /// Service *decide*: owns the gateway engine. Receives events through a ring
@@ -53,6 +55,7 @@
   duration ReportInterval;
   duration UrgentInterval;
   duration SummaryInterval;
+  duration IdleInterval;
   gateway_engine Engine;
   gateway_event_ring Events;
   gateway_command_ring *Commands = nullptr;
--- a/modules/bw_gateway_daemon/log/decision_log.cpp
+++ b/modules/bw_gateway_daemon/log/decision_log.cpp
@@ -71,6 +71,8 @@
                      {"reason", std::string(refusalName(Decision.Reason))},
                      {"customer", Decision.Customer.value()},
                      {"key", std::string(presenceName(Decision.Key))},
+                     {"retry_after_ms",
+                      optionalMilliseconds(Decision.RetryAfter)},
                      {"age_ms", Age},
                      {"time_left_ms", optionalMilliseconds(Decision.TimeLeft)},
                      {"version", std::to_string(Decision.Version.value())}});
--- a/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
+++ b/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
@@ -121,6 +121,12 @@
            B = Second.OnConfiguration](config_version Old, config_version New) {
             A(Old, New);
             B(Old, New);
+          },
+      .OnAllowance =
+          [A = First.OnAllowance, B = Second.OnAllowance](
+              const customer_id &Customer, const allowance_decision &Decision) {
+            A(Customer, Decision);
+            B(Customer, Decision);
           }};
 }
 
--- a/modules/bw_gateway_daemon/peers/exchange_messages.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_messages.cpp
@@ -1,6 +1,7 @@
 #include "bw_gateway_daemon/peers/exchange_messages.h"
 
 #include "bw_gateway_daemon/peers/exchange.pb.h"
+#include "bw_gateway_daemon/peers/exchange_demands.h"
 
 #include <algorithm>
 #include <cmath>
@@ -120,6 +121,8 @@
     Included->set_host(Host.value());
     Included->set_number(Number.value());
   }
+  if (Aggregate.Demand)
+    encodeDemandTotals(*Aggregate.Demand, *Result.mutable_demand_totals());
 }
 
 load_aggregate decodeAggregate(const exchange::host_report &Report) {
@@ -127,6 +130,8 @@
                         .Servers = {},
                         .Included = {},
                         .Round = message_round(Report.round())};
+  if (Report.has_demand_totals())
+    Result.Demand = decodeDemandTotals(Report.demand_totals());
   for (const auto &Each : Report.included())
     Result.Included.emplace_back(host_id(Each.host()),
                                  report_number(Each.number()));
@@ -250,14 +255,17 @@
   std::size_t Included = 0;
   for (const auto &[Host, Number] : Whole.Included)
     Included += MaxEntryBytes + Host.value().size();
+  if (Whole.Demand)
+    Included += encodedSize(*Whole.Demand);
   return splitByServers(std::move(Whole), MaxBytes.value(), Included);
 }
 
 std::vector<load_summary> bw::splitSummary(load_summary Whole,
                                            byte_count MaxBytes) {
   const data_centre_id DataCentre = Whole.DataCentre;
+  const std::size_t DemandBytes = Whole.Demand ? encodedSize(*Whole.Demand) : 0;
   std::vector<load_summary> Result =
-      splitByServers(std::move(Whole), MaxBytes.value(), 0);
+      splitByServers(std::move(Whole), MaxBytes.value(), DemandBytes);
   for (load_summary &Each : Result)
     Each.DataCentre = DataCentre;
   return Result;
@@ -283,6 +291,11 @@
     Result.set_summary_of(Report.Summary->DataCentre.value());
     Result.set_has_load(Report.Summary->HasLoad);
     Result.set_round(Report.Summary->Round.value());
+    if (Report.Summary->Demand)
+      encodeDemandSummary(*Report.Summary->Demand,
+                          *Result.mutable_demand_summary());
+  } else {
+    encodeDemands(Report.Observations.Demands, Result);
   }
   for (const server_report &Each :
        Report.Summary ? Report.Summary->Servers : Report.Observations.Servers) {
@@ -319,6 +332,7 @@
     Result.Aggregate = decodeAggregate(Report);
     return Result;
   }
+  Result.Observations.Demands = decodeDemands(Report);
   for (const auto &Each : Report.servers()) {
     checkOutcomes(Each.good(), Each.bad());
     Result.Observations.Servers.push_back(
@@ -333,6 +347,8 @@
                       .HasLoad = Report.has_load(),
                       .Servers = std::move(Result.Observations.Servers),
                       .Round = message_round(Report.round())};
+  if (Result.Summary && Report.has_demand_summary())
+    Result.Summary->Demand = decodeDemandSummary(Report.demand_summary());
   return Result;
 }
 
--- a/modules/bw_gateway_daemon/peers/peer_report_service.cpp
+++ b/modules/bw_gateway_daemon/peers/peer_report_service.cpp
@@ -159,8 +159,9 @@
   std::vector<gateway_host> Near;
   std::vector<gateway_host> Aggregators;
   std::vector<gateway_host> Far;
-  const bool IsSilent =
-      !Report.Aggregate && Report.Observations.Servers.empty();
+  const bool IsSilent = !Report.Aggregate &&
+                        Report.Observations.Servers.empty() &&
+                        Report.Observations.Demands.empty();
   State->withHosts([&](host_directory &Hosts, random_source &Generator) {
     const time_point Now = Clock.now();
     if (Report.IsUrgent || Report.Aggregate || (IsSilent && Duty.IsAggregator))
--- a/modules/bw_gateway_fleet/fleet/gateway_fleet.cpp
+++ b/modules/bw_gateway_fleet/fleet/gateway_fleet.cpp
@@ -249,7 +249,7 @@
 void gateway_fleet::sendReports(std::size_t Index, bool IsUrgent) {
   host &Host = Hosts[Index];
   const time_point Now = Queue.now();
-  peer_reported Report = Host.Engine->takeReport();
+  peer_reported Report = Host.Engine->takeReport(Now);
   Report.IsBroadcast = IsUrgent;
   const auto ToLocal = std::make_shared<const gateway_event>(std::move(Report));
   for (std::size_t To = Index % dataCentres(); To < Hosts.size();
@@ -261,8 +261,8 @@
       Now - Host.LastAggregate < ReportInterval)
     return;
   Host.LastAggregate = Now;
-  const auto Sums =
-      std::make_shared<const gateway_event>(Host.Engine->takeAggregate(true));
+  const auto Sums = std::make_shared<const gateway_event>(
+      Host.Engine->takeAggregate(true, Now));
   for (std::size_t To = Index % dataCentres(); To < Hosts.size();
        To += dataCentres())
     if (To != Index)
@@ -274,7 +274,7 @@
   if (IsSummaryDue)
     Host.LastSummary = Now;
   const auto Summary = std::make_shared<const gateway_event>(
-      Host.Engine->takeSummary(IsSummaryDue));
+      Host.Engine->takeSummary(IsSummaryDue, Now));
   for (std::size_t To = 0; To < Hosts.size() && isAggregator(To); ++To)
     if (To % dataCentres() != Index % dataCentres())
       send(Index, To, Summary);
