--- a/modules/bw_customers/allowances/allowance_fleet_test.cpp
+++ b/modules/bw_customers/allowances/allowance_fleet_test.cpp
@@ -191,8 +191,8 @@
 
 // Prints the worst window of each play as a part of what is allowed.
 void checkBound(const std::string &Name, const scenario &Make,
-                double Seconds = 14) {
-  for (const shape &Shape : Shapes) {
+                double Seconds = 14, const std::vector<shape> &Of = Shapes) {
+  for (const shape &Shape : Of) {
     double Worst = 0;
     for (std::uint64_t Seed = testSeed(); Seed < testSeed() + SeedsOfBound;
          ++Seed) {
@@ -257,6 +257,7 @@
   CPPUNIT_TEST_SUITE(allowance_fleet_test);
   CPPUNIT_TEST(steadyDemandKeepsTheBound);
   CPPUNIT_TEST(jumpsOfDemandKeepTheBound);
+  CPPUNIT_TEST(floodsKeepTheBound);
   CPPUNIT_TEST(movingDemandKeepsTheBound);
   CPPUNIT_TEST(partitionsKeepTheBound);
   CPPUNIT_TEST(badNetworksKeepTheBound);
@@ -289,6 +290,16 @@
       });
   }
 
+  // Guards against a token at each of many hosts: all of them are asked within
+  // a moment by a customer that was quiet before.
+  void floodsKeepTheBound() {
+    checkBound("jump to 60 times",
+               [](const shape &Shape) {
+                 return fleet_options{.Demand = jump(Shape, 0.5, 6, 60)};
+               },
+               12, {{3, 2}, {30, 2}, {100, 2}, {30, 60}, {100, 60}});
+  }
+
   // Guards against a share that is used at the old and the new hosts.
   void movingDemandKeepsTheBound() {
     for (const double Period : {0.4, 1.0, 2.5})
