--- a/modules/bw_gateway/customers/customer_gate.h
+++ b/modules/bw_gateway/customers/customer_gate.h
@@ -3,6 +3,7 @@
 
 #include "bw_core/ids/time.h"
 #include "bw_customers/keys/presented_key.h"
+#include "bw_gateway/customers/customer_allowances.h"
 #include "bw_gateway/customers/freshness_gate.h"
 #include "bw_gateway/messages/gateway_commands.h"
 #include "bw_gateway/messages/gateway_configuration.h"
@@ -24,14 +25,19 @@
   std::optional<forwarded_customer> Customer = {};
   /// Priority of the request: the customer's own, or that of the route.
   std::uint32_t Priority = 0;
+  /// The request holds a token of the customer's allowance.
+  bool HoldsToken = false;
+  /// For a customer with a limit.
+  std::optional<allowance_decision> Allowance = {};
 };
 
 /// Decides whether a request may be served for the customer that sent it. Not
 /// thread-safe.
 class customer_gate {
 public:
-  explicit customer_gate(configuration_freshness_options Freshness = {})
-      : Freshness(Freshness) {}
+  explicit customer_gate(configuration_freshness_options Freshness = {},
+                         const customer_allowances_options &Allowances = {})
+      : Allowances(Allowances), Freshness(Freshness) {}
 
   void
   setConfiguration(std::shared_ptr<const gateway_configuration> Configuration,
@@ -55,6 +61,8 @@
 
   freshness_gate &freshness() { return Freshness; }
   const freshness_gate &freshness() const { return Freshness; }
+  customer_allowances &allowances() { return Allowances; }
+  const customer_allowances &allowances() const { return Allowances; }
 
 private:
   /// Returns the customer with the key, or null.
@@ -62,6 +70,7 @@
   refusal_reason unknownKeyRefusal(time_point Now) const;
 
   std::shared_ptr<const gateway_configuration> Configuration;
+  customer_allowances Allowances;
   freshness_gate Freshness;
 };
 
--- a/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
+++ b/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
@@ -149,6 +149,12 @@
            B = Second.OnFreshness](const freshness_change &Change) {
             A(Change);
             B(Change);
+          },
+      .OnAllowance =
+          [A = First.OnAllowance, B = Second.OnAllowance](
+              const customer_id &Customer, const allowance_decision &Decision) {
+            A(Customer, Decision);
+            B(Customer, Decision);
           }};
 }
 
