--- a/modules/bw_customers/bw_customers.h
+++ b/modules/bw_customers/bw_customers.h
@@ -1,8 +1,8 @@
 /// \file
 /// Customers that share a fleet: recognition of their keys and what each of
 /// them may do. A key is known by its digest only. The logic takes typed
-/// messages and the current time; it does no I/O. Customers may be limited to an
-/// allowance over all hosts, of which each host computes its share.
+/// messages and the current time; it does no I/O. Customers may be limited to
+/// an allowance over all hosts, of which each host computes its share.
 ///
 /// Depends on: bw_core.
 #ifndef BW_CUSTOMERS_BW_CUSTOMERS_H
