--- a/modules/bw_gateway_daemon/log/decision_log.cpp
+++ b/modules/bw_gateway_daemon/log/decision_log.cpp
@@ -64,18 +64,18 @@
                      {"status", std::to_string(Decision.Status)},
                      {"age_ms", Age}});
   case request_step::Refused:
-    return logEvent(log_event::RequestRefused,
-                    {{"request", Request},
-                     {"route", Decision.Route.value()},
-                     {"service", Decision.Service.value()},
-                     {"reason", std::string(refusalName(Decision.Reason))},
-                     {"customer", Decision.Customer.value()},
-                     {"key", std::string(presenceName(Decision.Key))},
-                     {"retry_after_ms",
-                      optionalMilliseconds(Decision.RetryAfter)},
-                     {"age_ms", Age},
-                     {"time_left_ms", optionalMilliseconds(Decision.TimeLeft)},
-                     {"version", std::to_string(Decision.Version.value())}});
+    return logEvent(
+        log_event::RequestRefused,
+        {{"request", Request},
+         {"route", Decision.Route.value()},
+         {"service", Decision.Service.value()},
+         {"reason", std::string(refusalName(Decision.Reason))},
+         {"customer", Decision.Customer.value()},
+         {"key", std::string(presenceName(Decision.Key))},
+         {"retry_after_ms", optionalMilliseconds(Decision.RetryAfter)},
+         {"age_ms", Age},
+         {"time_left_ms", optionalMilliseconds(Decision.TimeLeft)},
+         {"version", std::to_string(Decision.Version.value())}});
   case request_step::CallerLeft:
     return logEvent(log_event::CallerLeft,
                     {{"request", Request}, {"age_ms", Age}});
