--- a/modules/bw_gateway/customers/customer_gate.cpp
+++ b/modules/bw_gateway/customers/customer_gate.cpp
@@ -14,6 +14,14 @@
   Allowances.setConfiguration(*Configuration, Now);
 }
 
+void customer_gate::handle(const time_suspended &Event) {
+  Freshness.handle(Event);
+  if (Event.Total <= Suspended)
+    return;
+  Allowances.advanceSuspended(Event.Total - Suspended);
+  Suspended = Event.Total;
+}
+
 // The key may have been withdrawn in a version that this host does not know, so
 // no key is known while the configuration is not fresh.
 const customer *customer_gate::find(const presented_key &Key,
--- a/modules/bw_gateway/customers/customer_gate.h
+++ b/modules/bw_gateway/customers/customer_gate.h
@@ -43,6 +43,8 @@
   setConfiguration(std::shared_ptr<const gateway_configuration> Configuration,
                    time_point Now);
 
+  void handle(const time_suspended &Event);
+
   /// Decides on a request that has arrived.
   customer_decision admit(const presented_key &Key, const gateway_route &Route,
                           time_point Now);
@@ -72,6 +74,8 @@
   std::shared_ptr<const gateway_configuration> Configuration;
   customer_allowances Allowances;
   freshness_gate Freshness;
+  /// Time for which the host was suspended, as far as it is known.
+  duration Suspended{};
 };
 
 } // namespace bw
--- a/modules/bw_gateway/engine/gateway_engine.h
+++ b/modules/bw_gateway/engine/gateway_engine.h
@@ -150,7 +150,7 @@
     Customers.freshness().handle(Event);
   }
   void on(const time_suspended &Event, time_point, commands &) {
-    Customers.freshness().handle(Event);
+    Customers.handle(Event);
   }
 
   bool startAttempt(request_number Number, request_state &Request,
