--- a/modules/bw_gateway/customers/customer_gate.cpp
+++ b/modules/bw_gateway/customers/customer_gate.cpp
@@ -11,6 +11,15 @@
     return;
   Freshness.setVersion(Configuration->Version,
                        Configuration->Customers != nullptr, Now);
+  Allowances.setConfiguration(*Configuration, Now);
+}
+
+void customer_gate::handle(const time_suspended &Event) {
+  Freshness.handle(Event);
+  if (Event.Total <= Suspended)
+    return;
+  Allowances.advanceSuspended(Event.Total - Suspended);
+  Suspended = Event.Total;
 }
 
 // The key may have been withdrawn in a version that this host does not know, so
@@ -44,6 +53,14 @@
   if (const customer *Known = find(Key, Now)) {
     Result.Customer->Name = Known->Name;
     Result.Priority = Known->Priority.value_or(Route.Priority);
+    const allowance_decision Allowance = Allowances.take(Known->Name, Now);
+    if (Allowance.IsLimited)
+      Result.Allowance = Allowance;
+    Result.HoldsToken = Allowance.IsLimited && Allowance.IsAdmitted;
+    if (!Allowance.IsAdmitted) {
+      Result.Refusal = refusal_reason::OverAllowance;
+      Result.RetryAfter = Allowance.RetryAfter;
+    }
   } else if (!Route.IsPublic) {
     Result.Refusal = unknownKeyRefusal(Now);
   }
--- a/modules/bw_gateway/customers/customer_gate.h
+++ b/modules/bw_gateway/customers/customer_gate.h
@@ -3,6 +3,7 @@
 
 #include "bw_core/ids/time.h"
 #include "bw_customers/keys/presented_key.h"
+#include "bw_gateway/customers/customer_allowances.h"
 #include "bw_gateway/customers/freshness_gate.h"
 #include "bw_gateway/messages/gateway_commands.h"
 #include "bw_gateway/messages/gateway_configuration.h"
@@ -24,19 +25,26 @@
   std::optional<forwarded_customer> Customer = {};
   /// Priority of the request: the customer's own, or that of the route.
   std::uint32_t Priority = 0;
+  /// The request holds a token of the customer's allowance.
+  bool HoldsToken = false;
+  /// For a customer with a limit.
+  std::optional<allowance_decision> Allowance = {};
 };
 
 /// Decides whether a request may be served for the customer that sent it. Not
 /// thread-safe.
 class customer_gate {
 public:
-  explicit customer_gate(configuration_freshness_options Freshness = {})
-      : Freshness(Freshness) {}
+  explicit customer_gate(configuration_freshness_options Freshness = {},
+                         const customer_allowances_options &Allowances = {})
+      : Allowances(Allowances), Freshness(Freshness) {}
 
   void
   setConfiguration(std::shared_ptr<const gateway_configuration> Configuration,
                    time_point Now);
 
+  void handle(const time_suspended &Event);
+
   /// Decides on a request that has arrived.
   customer_decision admit(const presented_key &Key, const gateway_route &Route,
                           time_point Now);
@@ -55,6 +63,8 @@
 
   freshness_gate &freshness() { return Freshness; }
   const freshness_gate &freshness() const { return Freshness; }
+  customer_allowances &allowances() { return Allowances; }
+  const customer_allowances &allowances() const { return Allowances; }
 
 private:
   /// Returns the customer with the key, or null.
@@ -62,7 +72,10 @@
   refusal_reason unknownKeyRefusal(time_point Now) const;
 
   std::shared_ptr<const gateway_configuration> Configuration;
+  customer_allowances Allowances;
   freshness_gate Freshness;
+  /// Time for which the host was suspended, as far as it is known.
+  duration Suspended{};
 };
 
 } // namespace bw
