Bound what callers and servers make the gateway hold

Cause: each buffer of the forward service had a limit, their sums had none, and neither had the number of connections: slow clients took 102 to 300 MB with a limit of 80, idle ones 739 descriptors with a limit of 500.

Change: each connection reports what it holds to a process budget. Near its limits reading of responses and bodies pauses for connections above the mean, then requests get 503 Overloaded with Retry-After, then the connection that holds most for longest is reset. At the connection limits the longest idle one is closed, else the new one. A request is passed on only while the responses ahead of it are within the share of its connection and none of them is long and incomplete, or expected to be because a response of its path was. The time that it waits counts towards its deadline. The accept loop, idle server connections, open requests and callers are classes of their own.

--- a/modules/bw_forward/bw_forward.h
+++ b/modules/bw_forward/bw_forward.h
@@ -3,7 +3,8 @@
 /// both sides, pipelining, back-pressure, and validation of responses before
 /// they are relayed. Decisions come from the decide service through rings.
 ///
-/// Depends on: bw_core, bw_customers, bw_kernel, bw_gateway, bw_http.
+/// Depends on: bw_core, bw_customers, bw_resources, bw_kernel, bw_gateway,
+/// bw_http.
 #ifndef BW_FORWARD_BW_FORWARD_H
 #define BW_FORWARD_BW_FORWARD_H
 
--- a/modules/bw_forward/servers/server_connection.cpp
+++ b/modules/bw_forward/servers/server_connection.cpp
@@ -160,6 +160,8 @@
 void server_connection::readable(asio::error_code Code) {
   if (!IsOpen)
     return;
+  if (pause())
+    return;
   std::size_t Size = 0;
   if (!Code)
     Size = Socket.read_some(asio::buffer(ReadBuffer.data(), ReadBuffer.size()),
@@ -178,13 +180,38 @@
   parse({ReadBuffer.data(), Size});
   if (!IsOpen)
     return;
-  const bool IsHeld =
-      Attempt && Attempt->Body.size() > Options.BufferLimit.value();
-  if (!IsHeld)
+  if (Attempt)
+    Hooks.OnReceived(Attempt);
+  if (IsOpen && !pause())
     readSome();
 }
 
-void server_connection::resumeReading() { readSome(); }
+bool server_connection::pause() {
+  if (!Attempt)
+    return false;
+  const read_permission Permission = Hooks.MayRead(*Attempt);
+  if (Permission == read_permission::Read)
+    return false;
+  IsPaused = true;
+  if (Permission == read_permission::WaitAndRelay && Attempt->HasHead &&
+      isReceivingAnswer() && !Attempt->IsReported)
+    reportPart();
+  Hooks.OnPaused(shared_from_this());
+  return true;
+}
+
+void server_connection::resumeReading() {
+  if (!IsOpen || !IsPaused || pause())
+    return;
+  IsPaused = false;
+  readSome();
+}
+
+void server_connection::reportPart() {
+  Attempt->IsReported = true;
+  Attempt->IsReportedIncomplete = true;
+  Hooks.OnResponse(Attempt);
+}
 
 void server_connection::parse(std::string_view Bytes) {
   while (!Bytes.empty() && IsOpen && Attempt) {
@@ -209,9 +236,7 @@
     Hooks.OnBodyPart(Attempt);
   } else if (!Attempt->IsReported && Classification == response_class::Usable &&
              Attempt->Body.size() > Options.BufferLimit.value()) {
-    Attempt->IsReported = true;
-    Attempt->IsReportedIncomplete = true;
-    Hooks.OnResponse(Attempt);
+    reportPart();
   }
 }
 
--- a/modules/bw_forward/servers/server_connection.h
+++ b/modules/bw_forward/servers/server_connection.h
@@ -16,9 +16,26 @@
 
 namespace bw {
 
+/// Whether more of a response may be read.
+enum class read_permission : std::uint8_t {
+  Read,
+  Wait,
+  /// Wait, and let what was received be relayed, which frees memory.
+  WaitAndRelay,
+};
+
 /// Callbacks of a server connection; called on the forwarding thread.
 struct server_connection_hooks {
   std::function<time_point()> Now = [] { return time_point(); };
+  /// Asked before more of a response is read.
+  std::function<read_permission(const server_attempt &)> MayRead =
+      [](const server_attempt &) { return read_permission::Read; };
+  /// Some bytes of a response were received, and it is not complete.
+  std::function<void(const attempt_pointer &)> OnReceived =
+      [](const attempt_pointer &) {};
+  /// Reading pauses until `resumeReading`.
+  std::function<void(const std::shared_ptr<server_connection> &)> OnPaused =
+      [](const std::shared_ptr<server_connection> &) {};
   /// The whole response is buffered, or the buffer limit is reached.
   std::function<void(const attempt_pointer &)> OnResponse =
       [](const attempt_pointer &) {};
@@ -38,7 +55,7 @@
 struct server_connection_options {
   relay_headers Headers;
   /// Responses up to this size are buffered completely, so that a truncated one
-  /// can be retried. Limits the buffered bytes of longer responses.
+  /// can be retried.
   byte_count BufferLimit = kibibytes(256);
   /// Most bytes received during an attempt that do not belong to its answer:
   /// interim responses, responses to other requests and bodies that are not
@@ -67,7 +84,7 @@
   void send(attempt_pointer Next);
   /// Sends more of the body of a streamed request.
   void sendBody();
-  /// Continues reading after the caller accepted the buffered bytes.
+  /// Continues reading if it was paused and may go on.
   void resumeReading();
   /// Closes the connection without reporting a failure; the server drops the
   /// request.
@@ -77,7 +94,12 @@
   /// not about to reach the server's idle time-out.
   bool isReusable(time_point Now);
   bool isIdle() const { return IsOpen && !Attempt; }
+  bool isPaused() const { return IsOpen && IsPaused; }
   const backend_server_id &server() const { return Server; }
+  /// Memory of what is being sent.
+  std::size_t outputMemory() const {
+    return memoryOf(Output) + memoryOf(Writing);
+  }
 
 private:
   void connected(asio::error_code Code);
@@ -86,6 +108,9 @@
   void written(asio::error_code Code);
   void readSome();
   void readable(asio::error_code Code);
+  /// True if reading has to wait.
+  bool pause();
+  void reportPart();
   void parse(std::string_view Bytes);
   bool headRead(http1_head Head);
   void bodyRead(std::string_view Part);
@@ -117,6 +142,7 @@
   std::uint64_t SkippedBytes = 0;
   bool IsInterim = false;
   bool IsReading = false;
+  bool IsPaused = false;
   bool IsWriting = false;
   bool IsOpen = true;
   bool IsConnected = false;
--- a/modules/bw_forward/service/forward_service.cpp
+++ b/modules/bw_forward/service/forward_service.cpp
@@ -1,9 +1,15 @@
 #include "bw_forward/service/forward_service.h"
 
-#include "bw_forward/callers/authorization_field.h"
+#include "bw_forward/callers/caller_acceptor.h"
 #include "bw_forward/callers/caller_connection.h"
+#include "bw_forward/callers/caller_registry.h"
+#include "bw_forward/servers/idle_connections.h"
 #include "bw_forward/servers/server_connection.h"
-#include "bw_http/server/http_server.h"
+#include "bw_forward/service/open_requests.h"
+#include "bw_forward/service/paused_connections.h"
+#include "bw_forward/service/refusal_encoding.h"
+#include "bw_forward/service/request_description.h"
+#include "bw_forward/service/response_flow.h"
 #include "bw_kernel/log/log_event.h"
 #include "bw_kernel/services/service_registry.h"
 
@@ -16,7 +22,6 @@
 #include <charconv>
 #include <thread>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 using namespace bw;
@@ -24,56 +29,30 @@
 
 namespace {
 
-constexpr int ListenBacklog = 1024;
 // The shortest caller time-out is a few seconds, so an error of up to one
 // second is acceptable.
 constexpr std::chrono::seconds TimeoutCheckInterval(1);
-// Delay before accepting again after an error, such as a lack of file
-// descriptors.
-constexpr std::chrono::milliseconds AcceptRetryDelay(100);
-// A host has about one concurrent request per server, so more idle connections
-// would not be used.
-constexpr std::size_t MaxIdlePerServer = 3;
-
-int statusFor(refusal_reason Reason) {
-  switch (Reason) {
-  case refusal_reason::NoRoute:
-    return 404;
-  case refusal_reason::Unauthenticated:
-    return 401;
-  case refusal_reason::OverAllowance:
-    return 429;
-  case refusal_reason::Unknown:
-    return 502;
-  case refusal_reason::Timeout:
-    return 504;
-  case refusal_reason::NoConfiguration:
-  case refusal_reason::NoServer:
-  case refusal_reason::NotExecuted:
-  case refusal_reason::Stopping:
-  case refusal_reason::Overloaded:
-  case refusal_reason::ConfigurationStale:
-    return 503;
-  }
-  return 502;
-}
-
-std::string_view withoutPort(std::string_view Host) {
-  const std::size_t Colon = Host.rfind(':');
-  return Colon == Host.npos ? Host : Host.substr(0, Colon);
+// Retry time of a request that a budget of this host refuses: other hosts have
+// budgets of their own, so the caller may try them soon.
+constexpr std::chrono::seconds BudgetRetryAfter(1);
+
+process_budget_options budgetOptions(const forward_service_options &Options) {
+  process_budget_options Result = divideLimits(Options.Limits);
+  Result.ResponsesPerCaller = Options.BufferLimit;
+  Result.OpenRequests = request_count(Options.CommandCapacity / 5);
+  return Result;
 }
 
 } // namespace
 
 struct forward_service::implementation {
-  struct open_request {
-    exchange_pointer Exchange;
-    std::vector<attempt_pointer> Attempts;
-  };
-
   implementation(runtime_clock &Clock, forward_service_options GivenOptions)
-      : Clock(Clock), Options(std::move(GivenOptions)), Acceptor(Context),
-        AcceptTimer(Context), TimeoutTimer(Context), StopTimer(Context),
+      : Clock(Clock), Options(std::move(GivenOptions)),
+        Budget(budgetOptions(Options)), Callers(Budget), Requests(Budget),
+        Flow(Budget),
+        Acceptor(Context,
+                 [this](tcp::socket Socket) { accepted(std::move(Socket)); }),
+        TimeoutTimer(Context), StopTimer(Context), Paused(Context),
         Commands(Clock,
                  {.Capacity = Options.CommandCapacity,
                   // A lost command would leave a caller without response.
@@ -88,17 +67,40 @@
         .OnRequest =
             [this](const exchange_pointer &Each) { dispatchRequest(Each); },
         .OnBody = [this](const exchange_pointer &Each) { bodyRead(*Each); },
+        .ExpectsLongResponse =
+            [this](const caller_exchange &Each) {
+              return Flow.expectsLong(Each);
+            },
+        .HeldByAttempts =
+            [this](request_number Number) { return Requests.held(Number); },
         .OnDisconnected =
             [this](const exchange_pointer &Each) { callerDisconnected(*Each); },
         .OnOutputWritten =
             [this](const exchange_pointer &Each) { outputWritten(*Each); },
+        .OnPaused =
+            [this](const std::shared_ptr<caller_connection> &Each) {
+              Paused.add(Each);
+            },
+        .OnOverLimit = [this] { postReset(); },
+        .OnLimit =
+            [this](close_reason Reason) {
+              Counters.ClosedCallers.closed(Reason, this->Clock.now());
+            },
         .OnClosed =
             [this](const std::shared_ptr<caller_connection> &Each) {
-              Callers.erase(Each);
+              Callers.remove(*Each);
               CallerCount = Callers.size();
             }};
     ServerHooks = {
         .Now = [this] { return this->Clock.now(); },
+        .MayRead =
+            [this](const server_attempt &Each) { return Flow.mayRead(Each); },
+        .OnReceived =
+            [this](const attempt_pointer &Each) { Flow.received(*Each); },
+        .OnPaused =
+            [this](const std::shared_ptr<server_connection> &Each) {
+              Paused.add(Each);
+            },
         .OnResponse =
             [this](const attempt_pointer &Each) { responseReceived(*Each); },
         .OnBodyPart =
@@ -109,11 +111,12 @@
             },
         .OnIdle =
             [this](const std::shared_ptr<server_connection> &Each) {
-              addIdle(Each);
+              Idle.add(Each);
             },
         .OnClosed =
             [this](const std::shared_ptr<server_connection> &Each) {
-              removeIdle(Each);
+              Idle.remove(Each);
+              Budget.serverClosed();
             }};
   }
 
@@ -128,45 +131,23 @@
   }
 
   void listen() {
-    asio::error_code Code;
-    const auto Address = asio::ip::make_address(Options.Address, Code);
-    if (!Code)
-      Acceptor.open(tcp::v4(), Code);
-    if (!Code)
-      Acceptor.set_option(tcp::acceptor::reuse_address(true), Code);
-    if (!Code)
-      Acceptor.bind({Address, Options.Port}, Code);
-    if (!Code)
-      Acceptor.listen(ListenBacklog, Code);
-    if (Code)
-      throw listen_error(Options.Address, Options.Port, Code.message());
-    Port = Acceptor.local_endpoint().port();
-    accept();
+    Port = Acceptor.listen(Options.Address, Options.Port);
     scheduleTimeoutCheck();
   }
 
-  void accept() {
-    Acceptor.async_accept([this](asio::error_code Code, tcp::socket Socket) {
-      if (!Acceptor.is_open())
-        return;
-      if (Code) {
-        AcceptTimer.expires_after(AcceptRetryDelay);
-        AcceptTimer.async_wait([this](asio::error_code Cancelled) {
-          if (!Cancelled)
-            accept();
-        });
-        return;
-      }
-      const auto Connection = std::make_shared<caller_connection>(
-          std::move(Socket), CallerOptions, CallerHooks, ReadBuffer);
-      Callers.insert(Connection);
-      CallerCount = Callers.size();
-      ++Counters.CallerConnections;
-      Connection->start();
-      if (IsClosingIdle)
-        Connection->closeAfterNextResponse();
-      accept();
-    });
+  void accepted(tcp::socket Socket) {
+    if (!Callers.makeRoom()) {
+      Counters.ClosedCallers.closed(close_reason::NoRoom, Clock.now());
+      return;
+    }
+    const auto Connection = std::make_shared<caller_connection>(
+        std::move(Socket), CallerOptions, CallerHooks, Budget, ReadBuffer);
+    Callers.add(Connection);
+    CallerCount = Callers.size();
+    ++Counters.CallerConnections;
+    Connection->start();
+    if (IsClosingIdle)
+      Connection->closeAfterNextResponse();
   }
 
   void scheduleTimeoutCheck() {
@@ -174,88 +155,54 @@
     TimeoutTimer.async_wait([this](asio::error_code Cancelled) {
       if (Cancelled)
         return;
-      const time_point Now = Clock.now();
-      // Copied because a time-out removes the connection from the set.
-      const std::vector<std::shared_ptr<caller_connection>> Each(
-          Callers.begin(), Callers.end());
-      for (const auto &Connection : Each)
-        Connection->checkTimeouts(Now);
+      Callers.checkTimeouts(Clock.now());
+      Counters.publish(Budget.usage());
       scheduleTimeoutCheck();
     });
   }
 
-  void dispatchRequest(const exchange_pointer &Exchange) {
-    ++Counters.Requests;
-    const http1_head &Head = Exchange->Head;
-    const std::string Host = Head.Headers.find("Host").value_or("");
-    request_arrived Event{
-        .Request = Exchange->Number,
-        .Label = request_label(
-            Head.Headers.find(Options.Headers.RequestLabel).value_or("")),
-        .VirtualHost = std::string(withoutPort(Host)),
-        .Path = Head.Target.substr(0, Head.Target.find('?')),
-        .CallerTimeout = callerTimeout(Head),
-        .IsReplayable = !Exchange->IsStreamed,
-        .Key = readPresentedKey(Head.Headers)};
-    Open.emplace(Exchange->Number,
-                 open_request{.Exchange = Exchange, .Attempts = {}});
-    if (!Decide->tryPush(std::move(Event)))
-      on(refuse_request{.Request = Exchange->Number,
-                        .Reason = refusal_reason::Overloaded,
-                        .RetryAfter = std::chrono::seconds(1)});
+  // Not at once, because the connection that reports the limit may be the one
+  // to reset.
+  void postReset() {
+    if (std::exchange(IsResetPosted, true))
+      return;
+    asio::post(Context, [this] {
+      IsResetPosted = false;
+      Callers.resetOverLimit(Clock.now());
+    });
   }
 
-  std::optional<duration> callerTimeout(const http1_head &Head) const {
-    const auto Field = Head.Headers.find(Options.Headers.Deadline);
-    if (!Field)
-      return std::nullopt;
-    std::int64_t Milliseconds = 0;
-    const auto [End, Error] = std::from_chars(
-        Field->data(), Field->data() + Field->size(), Milliseconds);
-    if (Error != std::errc() || Milliseconds < 0)
-      return std::nullopt;
-    return std::chrono::milliseconds(Milliseconds);
+  void dispatchRequest(const exchange_pointer &Exchange) {
+    ++Counters.Requests;
+    const bool HasRoom = Budget.hasRoomForRequest() &&
+                         (Budget.hasRoomForServer() || !Idle.isEmpty());
+    Requests.open(Exchange);
+    if (HasRoom && Decide->tryPush(describeRequest(*Exchange, Options.Headers,
+                                                   Clock.now())))
+      return;
+    ++Counters.RefusedByBudget;
+    on(refuse_request{.Request = Exchange->Number,
+                      .Reason = refusal_reason::Overloaded,
+                      .RetryAfter = BudgetRetryAfter});
   }
 
   void bodyRead(caller_exchange &Exchange) {
-    const auto Found = Open.find(Exchange.Number);
-    if (Found == Open.end())
-      return;
-    for (const attempt_pointer &Each : Found->second.Attempts)
+    for (const attempt_pointer &Each : Requests.attempts(Exchange.Number))
       if (Each->Connection)
         Each->Connection->sendBody();
   }
 
   void callerDisconnected(caller_exchange &Exchange) {
-    const auto Found = Open.find(Exchange.Number);
-    if (Found == Open.end())
+    if (!Requests.find(Exchange.Number))
       return;
     ++Counters.CallersDisconnected;
-    dropAttempts(Found->second);
-    Open.erase(Found);
+    Requests.close(Exchange.Number);
     Decide->push(caller_left{.Request = Exchange.Number});
   }
 
-  static void dropAttempts(open_request &Request) {
-    for (const attempt_pointer &Each : Request.Attempts)
-      if (const auto Connection = std::exchange(Each->Connection, nullptr))
-        Connection->close();
-    Request.Attempts.clear();
-  }
-
-  attempt_pointer find(request_number Request, attempt_number Number) {
-    const auto Found = Open.find(Request);
-    if (Found == Open.end())
-      return nullptr;
-    for (const attempt_pointer &Each : Found->second.Attempts)
-      if (Each->Number == Number)
-        return Each;
-    return nullptr;
-  }
-
   void on(start_attempt &Command) {
-    const auto Found = Open.find(Command.Request);
-    if (Found == Open.end())
+    const exchange_pointer Exchange = Requests.find(Command.Request);
+    if (!Exchange)
       return;
     auto Attempt = std::make_shared<server_attempt>();
     Attempt->Request = Command.Request;
@@ -264,52 +211,24 @@
     Attempt->Address = Command.Address;
     Attempt->Deadline = Clock.now() + Command.TimeLeft;
     Attempt->Customer = Command.Customer;
-    Attempt->Exchange = Found->second.Exchange;
-    Found->second.Attempts.push_back(Attempt);
-    if (auto Connection = takeIdle(Command.Server)) {
+    Attempt->Exchange = Exchange;
+    Requests.add(Attempt);
+    if (auto Connection = Idle.take(Command.Server, Clock.now())) {
       Attempt->Connection = Connection;
       return Connection->send(Attempt);
     }
+    if (!Budget.hasRoomForServer() && !Idle.closeOldest()) {
+      ++Counters.UnconnectedAttempts;
+      return attemptFailed(*Attempt, attempt_outcome::NotSent);
+    }
     ++Counters.ServerConnections;
+    Budget.serverOpened();
     const auto Connection = std::make_shared<server_connection>(
         Context, Command.Server, ServerOptions, ServerHooks, ReadBuffer);
     Attempt->Connection = Connection;
     Connection->open(Attempt);
   }
 
-  std::shared_ptr<server_connection> takeIdle(const backend_server_id &Server) {
-    const auto Found = Idle.find(Server);
-    if (Found == Idle.end())
-      return nullptr;
-    const time_point Now = Clock.now();
-    while (!Found->second.empty()) {
-      // The most recently used connection is taken first; close() removes the
-      // connection from the list.
-      auto Connection = Found->second.back();
-      if (Connection->isReusable(Now)) {
-        Found->second.pop_back();
-        return Connection;
-      }
-      Connection->close();
-    }
-    return nullptr;
-  }
-
-  void addIdle(const std::shared_ptr<server_connection> &Connection) {
-    auto &List = Idle[Connection->server()];
-    List.push_back(Connection);
-    if (List.size() > MaxIdlePerServer) {
-      const auto Oldest = List.front();
-      Oldest->close();
-    }
-  }
-
-  void removeIdle(const std::shared_ptr<server_connection> &Connection) {
-    const auto Found = Idle.find(Connection->server());
-    if (Found != Idle.end())
-      std::erase(Found->second, Connection);
-  }
-
   void responseReceived(server_attempt &Attempt) {
     Decide->push(attempt_ended{.Request = Attempt.Request,
                                .Attempt = Attempt.Number,
@@ -343,7 +262,7 @@
     const exchange_pointer Exchange = Attempt.Exchange;
     logEvent(log_event::TransferAborted, {{"request", labelOf(*Exchange)},
                                           {"server", Attempt.Server.value()}});
-    Open.erase(Attempt.Request);
+    Requests.close(Attempt.Request);
     if (const auto Caller = Exchange->Connection.lock())
       Caller->abort();
   }
@@ -354,16 +273,12 @@
   }
 
   void on(cancel_attempt &Command) {
-    const attempt_pointer Attempt = find(Command.Request, Command.Attempt);
-    if (!Attempt)
-      return;
-    std::erase(Open.at(Command.Request).Attempts, Attempt);
-    if (const auto Connection = std::exchange(Attempt->Connection, nullptr))
-      Connection->close();
+    Requests.cancel(Command.Request, Command.Attempt);
   }
 
   void on(relay_answer &Command) {
-    const attempt_pointer Attempt = find(Command.Request, Command.Attempt);
+    const attempt_pointer Attempt =
+        Requests.find(Command.Request, Command.Attempt);
     if (!Attempt)
       return;
     if (Attempt->IsBroken && !Attempt->IsComplete)
@@ -376,6 +291,7 @@
     Attempt->IsRelaying = true;
     Exchange.IsResponseStarted = true;
     closeIfBodyIsUnread(Exchange);
+    Flow.relayBegins(*Attempt);
     Attempt->Framing =
         selectFraming(Exchange, Attempt->Head, Attempt->IsComplete);
     if (Attempt->Framing == body_framing::Close)
@@ -387,11 +303,17 @@
         encodeResponseHead(Exchange, Attempt->Head, Size, Attempt->Framing);
     const bool WasReportedWhole =
         Attempt->IsComplete && !Attempt->IsReportedIncomplete;
-    relayBody(*Attempt);
     if (Attempt->IsComplete && !WasReportedWhole)
-      Decide->push(relay_ended{.Request = Command.Request,
-                               .Attempt = Command.Attempt,
-                               .IsComplete = true});
+      reportRelayed(*Attempt);
+    relayBody(*Attempt);
+  }
+
+  // Comes before the requests that the end of the response lets pass, because
+  // it frees the server's slot.
+  void reportRelayed(const server_attempt &Attempt) {
+    Decide->push(relay_ended{.Request = Attempt.Request,
+                             .Attempt = Attempt.Number,
+                             .IsComplete = true});
   }
 
   void relayBody(server_attempt &Attempt) {
@@ -405,7 +327,7 @@
     Exchange->IsResponseComplete = Attempt.IsComplete;
     const auto Caller = Exchange->Connection.lock();
     if (Attempt.IsComplete)
-      Open.erase(Exchange->Number);
+      Requests.close(Exchange->Number);
     if (Caller)
       Caller->flush();
   }
@@ -416,54 +338,30 @@
     if (!Attempt.IsComplete &&
         Attempt.Exchange->Output.size() > Options.BufferLimit.value())
       return;
-    const request_number Request = Attempt.Request;
-    const bool IsComplete = Attempt.IsComplete;
+    if (Attempt.IsComplete)
+      reportRelayed(Attempt);
     relayBody(Attempt);
-    if (IsComplete)
-      Decide->push(relay_ended{
-          .Request = Request, .Attempt = Attempt.Number, .IsComplete = true});
   }
 
   void outputWritten(caller_exchange &Exchange) {
-    const auto Found = Open.find(Exchange.Number);
-    if (Found == Open.end())
-      return;
-    for (const attempt_pointer &Each : Found->second.Attempts) {
-      if (!Each->IsRelaying || Each->IsComplete)
-        continue;
-      const attempt_pointer Kept = Each;
-      if (!Kept->Body.empty())
-        relayBody(*Kept);
-      if (Kept->Connection)
-        Kept->Connection->resumeReading();
-      return;
+    for (const attempt_pointer &Each : Requests.attempts(Exchange.Number)) {
+      if (Each->IsRelaying && !Each->IsComplete && !Each->Body.empty())
+        relayBody(*Each);
+      if (const auto Connection = Each->Connection)
+        Connection->resumeReading();
     }
   }
 
   void on(refuse_request Command) {
-    const auto Found = Open.find(Command.Request);
-    if (Found == Open.end())
+    const exchange_pointer Exchange = Requests.find(Command.Request);
+    if (!Exchange)
       return;
     ++Counters.Refused;
-    const exchange_pointer Exchange = Found->second.Exchange;
-    dropAttempts(Found->second);
-    Open.erase(Found);
-    const int Status = statusFor(Command.Reason);
+    Requests.close(Command.Request);
     closeIfBodyIsUnread(*Exchange);
-    std::string Answer = "HTTP/1.1 " + std::to_string(Status) + " " +
-                         std::string(reasonPhrase(Status)) + "\r\n";
-    const std::string Label = labelOf(*Exchange);
-    if (!Label.empty())
-      Answer += Options.Headers.RequestLabel + ": " + Label + "\r\n";
-    if (Command.RetryAfter)
-      Answer +=
-          "Retry-After: " + Options.Headers.RetryAfter(*Command.RetryAfter) +
-          "\r\n";
-    if (Command.Reason == refusal_reason::Unauthenticated)
-      Answer += "WWW-Authenticate: Bearer\r\n";
-    if (Exchange->ClosesConnection)
-      Answer += "Connection: close\r\n";
-    Exchange->Output += Answer + "Content-Length: 0\r\n\r\n";
+    Exchange->Output +=
+        encodeRefusal(Command, labelOf(*Exchange), Exchange->ClosesConnection,
+                      Options.Headers);
     Exchange->IsResponseStarted = true;
     Exchange->IsResponseComplete = true;
     if (const auto Caller = Exchange->Connection.lock())
@@ -480,14 +378,14 @@
   void beginStop() {
     atStopStep(Options.CloseIdleAfter, [this] {
       IsClosingIdle = true;
-      closeIdleCallers();
+      Callers.closeWhenIdle();
       atStopStep(Options.AcceptUntil - Options.CloseIdleAfter, [this] {
-        asio::error_code Ignored;
-        Acceptor.close(Ignored);
+        Acceptor.close();
         IsAccepting = false;
         // The last callers that connected may still send a request; later ones
         // could not be finished.
-        atStopStep(Options.CloseUnusedAfter, [this] { closeIdleCallers(); });
+        atStopStep(Options.CloseUnusedAfter,
+                   [this] { Callers.closeWhenIdle(); });
       });
     });
   }
@@ -500,21 +398,17 @@
     });
   }
 
-  void closeIdleCallers() {
-    // Copied because a closed connection leaves the set.
-    const std::vector<std::shared_ptr<caller_connection>> Each(Callers.begin(),
-                                                               Callers.end());
-    for (const auto &Connection : Each)
-      Connection->closeWhenIdle();
-  }
-
   runtime_clock &Clock;
   forward_service_options Options;
   asio::io_context Context{1};
-  tcp::acceptor Acceptor;
-  asio::steady_timer AcceptTimer;
+  process_budget Budget;
+  caller_registry Callers;
+  open_requests Requests;
+  response_flow Flow;
+  caller_acceptor Acceptor;
   asio::steady_timer TimeoutTimer;
   asio::steady_timer StopTimer;
+  paused_connections Paused;
   gateway_command_ring Commands;
   std::atomic<bool> IsProcessingPosted = false;
   gateway_event_ring *Decide = nullptr;
@@ -524,14 +418,11 @@
   server_connection_hooks ServerHooks;
   std::array<char, 65'536> ReadBuffer{};
   request_number LastNumber;
-  std::unordered_map<request_number, open_request> Open;
-  std::unordered_map<backend_server_id,
-                     std::vector<std::shared_ptr<server_connection>>>
-      Idle;
-  std::unordered_set<std::shared_ptr<caller_connection>> Callers;
+  idle_connections Idle;
   forward_counters Counters;
   std::uint16_t Port = 0;
   bool IsClosingIdle = false;
+  bool IsResetPosted = false;
   std::atomic<bool> IsAccepting = true;
   std::atomic<std::size_t> CallerCount = 0;
   std::thread Thread;
--- a/modules/bw_forward/service/forward_service.h
+++ b/modules/bw_forward/service/forward_service.h
@@ -3,10 +3,11 @@
 
 #include "bw_core/errors/error.h"
 #include "bw_forward/servers/relay_headers.h"
+#include "bw_forward/service/forward_counters.h"
 #include "bw_forward/service/forward_rings.h"
 #include "bw_kernel/services/service.h"
+#include "bw_resources/budget/budget_options.h"
 
-#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -20,6 +21,8 @@
   /// Request and response bodies up to this size are buffered completely.
   byte_count BufferLimit = kibibytes(256);
   std::size_t CommandCapacity = 8192;
+  /// What this process may use, for all connections together.
+  process_limits Limits;
   /// Delay between the start of a planned stop and the closing of idle caller
   /// connections. By then the platform's load balancer has detected that this
   /// host is not ready and does not route the callers back to it.
@@ -32,17 +35,6 @@
   duration CloseUnusedAfter = std::chrono::milliseconds(500);
 };
 
-/// Counters of the forward service. Thread-safe.
-struct forward_counters {
-  std::atomic<std::uint64_t> CallerConnections = 0;
-  std::atomic<std::uint64_t> ServerConnections = 0;
-  std::atomic<std::uint64_t> Requests = 0;
-  std::atomic<std::uint64_t> Relayed = 0;
-  std::atomic<std::uint64_t> Refused = 0;
-  std::atomic<std::uint64_t> Aborted = 0;
-  std::atomic<std::uint64_t> CallersDisconnected = 0;
-};
-
 /// Service *forward*: handles all connections of callers and to backend servers
 /// on one thread with an event loop, so that bodies never cross threads.
 class forward_service : public service {
--- a/modules/bw_forward/service/forward_test_fixture.h
+++ b/modules/bw_forward/service/forward_test_fixture.h
@@ -140,12 +140,7 @@
     Clock = std::make_unique<runtime_clock>();
     Kernel = std::make_unique<kernel>();
     Decide = &Kernel->add<scripted_decide>(*Clock);
-    Forward = &Kernel->add<forward_service>(
-        *Clock, forward_service_options{
-                    .BufferLimit = kibibytes(64),
-                    .CloseIdleAfter = std::chrono::milliseconds(50),
-                    .AcceptUntil = std::chrono::milliseconds(100),
-                    .CloseUnusedAfter = std::chrono::milliseconds(50)});
+    Forward = &Kernel->add<forward_service>(*Clock, options());
     Kernel->start();
     Caller = std::make_unique<test_socket>();
     Caller->connect(Forward->port());
@@ -157,6 +152,13 @@
   }
 
 protected:
+  virtual forward_service_options options() const {
+    return {.BufferLimit = kibibytes(64),
+            .CloseIdleAfter = std::chrono::milliseconds(50),
+            .AcceptUntil = std::chrono::milliseconds(100),
+            .CloseUnusedAfter = std::chrono::milliseconds(50)};
+  }
+
   void command(gateway_command Command) {
     Forward->commands().push(std::move(Command));
   }
--- a/modules/bw_kernel/log/log_event.cpp
+++ b/modules/bw_kernel/log/log_event.cpp
@@ -45,6 +45,8 @@
      "A backend server's answer goes to the caller."},
     {log_event::CallerLeft, "caller_left", log_severity::Info,
      "A caller closed its connection before its answer was complete."},
+    {log_event::CallerClosed, "caller_closed", log_severity::Info,
+     "A caller's connection was closed because of a limit."},
     {log_event::BackendServerEjected, "backend_server_ejected",
      log_severity::Warning, "A backend server was ejected for a request kind."},
     {log_event::BackendServerReturned, "backend_server_returned",
--- a/modules/bw_kernel/log/log_event.h
+++ b/modules/bw_kernel/log/log_event.h
@@ -33,6 +33,7 @@
   AttemptFailed = 1105,
   RequestAnswered = 1106,
   CallerLeft = 1107,
+  CallerClosed = 1108,
   // 1200: backend servers.
   BackendServerEjected = 1200,
   BackendServerReturned = 1201,
--- a/modules/bw_resources/budget/process_budget.cpp
+++ b/modules/bw_resources/budget/process_budget.cpp
@@ -115,17 +115,18 @@
   const auto Found = Callers.find(Caller);
   if (Found == Callers.end())
     return false;
-  const byte_count Held = Found->second.Holding.Responses;
-  if (Usage.CallerBytes.Used >= Options.CallerBytes.value())
+  const caller_holding &Holding = Found->second.Holding;
+  if (areResponsesAtLimit())
     return true;
   // The next response is never paused before some of it can be written:
   // otherwise the responses behind it would hold the share for ever.
   if (IsNext && Own == byte_count())
     return false;
-  if ((IsNext ? Own : Held) >= Options.ResponsesPerCaller)
+  if ((IsNext ? Own : Holding.Buffered) > Options.ResponsesPerCaller)
     return true;
   return isAbove(Usage.CallerBytes, Options.CallerBytes, PauseShare) &&
-         isAboveMean(Held, Usage.CallerBytes, CallersWithResponses);
+         isAboveMean(Holding.Responses, Usage.CallerBytes,
+                     CallersWithResponses);
 }
 
 bool process_budget::pausesBody(connection_number Caller) const {
@@ -142,9 +143,13 @@
   return Usage.ServerBytes.Used >= Options.ServerBytes.value();
 }
 
+bool process_budget::areResponsesAtLimit() const {
+  return Usage.CallerBytes.Used >= Options.CallerBytes.value();
+}
+
 std::optional<connection_number>
 process_budget::callerToReset(time_point Now) const {
-  if (Usage.CallerBytes.Used < Options.CallerBytes.value())
+  if (!areResponsesAtLimit())
     return std::nullopt;
   // Connections with one request come last; then the product of bytes and time
   // decides.
--- a/modules/bw_resources/budget/process_budget.h
+++ b/modules/bw_resources/budget/process_budget.h
@@ -16,9 +16,13 @@
 
 /// What one caller's connection holds.
 struct caller_holding {
-  /// Responses as far as received and not written, and heads of requests.
+  /// Memory of responses as far as received and not written, and of heads of
+  /// requests.
   byte_count Responses;
-  /// Request bodies, unparsed input and what is being sent to servers.
+  /// Bytes of responses among them, which count towards the caller's share.
+  byte_count Buffered;
+  /// Memory of request bodies, of unparsed input and of what is being sent to
+  /// servers.
   byte_count Bodies;
   /// Requests in progress.
   std::uint32_t Requests = 0;
@@ -68,6 +72,8 @@
   bool pausesBody(connection_number Caller) const;
   /// True while request bodies use their whole budget.
   bool areBodiesAtLimit() const;
+  /// True while responses and heads use their whole budget.
+  bool areResponsesAtLimit() const;
   /// The connection to reset because the bytes held for callers reach their
   /// limit.
   std::optional<connection_number> callerToReset(time_point Now) const;
--- a/modules/bw_resources/budget/process_budget_test.cpp
+++ b/modules/bw_resources/budget/process_budget_test.cpp
@@ -71,11 +71,11 @@
   void oneCallerGetsItsShareOnly() {
     process_budget Budget({});
     const auto Caller = Budget.addCaller(at(0s));
-    hold(Budget, Caller, kibibytes(255));
-    CPPUNIT_ASSERT(!Budget.pausesResponse(Caller, kibibytes(255), true));
-    CPPUNIT_ASSERT(!Budget.pausesResponse(Caller, kibibytes(10), false));
     hold(Budget, Caller, kibibytes(256));
-    CPPUNIT_ASSERT(Budget.pausesResponse(Caller, kibibytes(256), true));
+    CPPUNIT_ASSERT(!Budget.pausesResponse(Caller, kibibytes(256), true));
+    CPPUNIT_ASSERT(!Budget.pausesResponse(Caller, kibibytes(10), false));
+    hold(Budget, Caller, kibibytes(257));
+    CPPUNIT_ASSERT(Budget.pausesResponse(Caller, kibibytes(257), true));
     CPPUNIT_ASSERT(Budget.pausesResponse(Caller, kibibytes(10), false));
   }
 
@@ -187,9 +187,12 @@
 
   static void hold(process_budget &Budget, connection_number Caller,
                    byte_count Bytes, std::uint32_t Requests = 1) {
-    Budget.updateCaller(
-        Caller, {.Responses = Bytes, .Requests = Requests, .IsIdle = false},
-        at(0s));
+    Budget.updateCaller(Caller,
+                        {.Responses = Bytes,
+                         .Buffered = Bytes,
+                         .Requests = Requests,
+                         .IsIdle = false},
+                        at(0s));
   }
 };
 
--- a/modules/bw_resources/bw_resources.h
+++ b/modules/bw_resources/bw_resources.h
@@ -8,6 +8,7 @@
 #define BW_RESOURCES_BW_RESOURCES_H
 
 #include "bw_resources/budget/budget_options.h"
+#include "bw_resources/budget/close_reason.h"
 #include "bw_resources/budget/process_budget.h"
 
 #endif
