End answers in relay at their deadline, and bound requests in progress

Both rings between engine and forward service could be full at once, and each side then waited for the other.

Change: the deadline timer also ends an answer in relay: the new command end_request resets the caller, closes the server and is logged as BW1102; the engine frees the slot and counts no evidence, since either side may be slow. Each request has exactly one last command; the forward service counts it as in progress until then and refuses beyond 1,625, so that all commands fit into their ring and the engine never waits. Static asserts in ring_bounds.h keep the constants consistent. The event ring has 16,384 places, of which reports of other hosts use half at most. The end of a relay is reported before the requests that it lets pass. The output and the order of requests were changed with the process budget. callerThatLeavesCancelsItsAttempts now expects end_request after the cancellation; the simulations ignore it.

--- a/modules/bw_forward/service/forward_budget_test.cpp
+++ b/modules/bw_forward/service/forward_budget_test.cpp
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(requestBehindLongResponseWaitsForItsEnd);
   CPPUNIT_TEST(requestBehindExpectedLongResponseWaits);
   CPPUNIT_TEST(waitingCountsTowardsTheDeadline);
+  CPPUNIT_TEST(endedRequestResetsItsCaller);
+  CPPUNIT_TEST(closingResponseIsWrittenWhileItMakesProgress);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -126,6 +128,49 @@
     CPPUNIT_ASSERT(Second.CallerTimeout < 3900ms);
   }
 
+  // Guards against an answer past its deadline that the caller waits for.
+  void endedRequestResetsItsCaller() {
+    Caller->write(request("r1"));
+    const auto Arrived = Decide->next<request_arrived>();
+    const auto Connection = beginLong(Arrived);
+    command(end_request{Arrived.Request});
+    while (!Caller->isClosedByPeer()) {
+    }
+    CPPUNIT_ASSERT(Caller->WasReset);
+    CPPUNIT_ASSERT(Connection->isClosedByPeer());
+    CPPUNIT_ASSERT(!Decide->events().tryPop());
+  }
+
+  // Guards against a last response that is cut while its caller reads it: the
+  // socket's buffer holds more than the caller takes in the time for lingering.
+  void closingResponseIsWrittenWhileItMakesProgress() {
+    constexpr std::size_t Size = 3'000'000;
+    constexpr int SmallBuffer = 8192;
+    test_socket Slow;
+    Slow.Socket.open(asio::ip::tcp::v4());
+    Slow.Socket.set_option(asio::socket_base::receive_buffer_size(SmallBuffer));
+    Slow.connect(Forward->port());
+    Slow.write(request("r1", "GET", "", "Connection: close\r\n"));
+    const auto Arrived = Decide->next<request_arrived>();
+    const auto Connection = start(Arrived);
+    Connection->readUntil("\r\n\r\n");
+    std::thread Writer(
+        [&] { Connection->write(answer("r1", std::string(Size, 'x'))); });
+    relay(Arrived);
+    std::size_t Got = 0;
+    // About five seconds, in steps that each make progress.
+    for (int Step = 0; Step < 50; ++Step) {
+      Got += Slow.readSome().size();
+      std::this_thread::sleep_for(100ms);
+    }
+    for (std::string Part = Slow.readSome(); !Part.empty();
+         Part = Slow.readSome())
+      Got += Part.size();
+    Writer.join();
+    CPPUNIT_ASSERT(Got > Size);
+    CPPUNIT_ASSERT(!Slow.WasReset);
+  }
+
 protected:
   // Three connections of callers and two of servers.
   forward_service_options options() const override {
--- a/modules/bw_forward/service/forward_service.cpp
+++ b/modules/bw_forward/service/forward_service.cpp
@@ -39,7 +39,8 @@
 process_budget_options budgetOptions(const forward_service_options &Options) {
   process_budget_options Result = divideLimits(Options.Limits);
   Result.ResponsesPerCaller = Options.BufferLimit;
-  Result.OpenRequests = request_count(Options.CommandCapacity / 5);
+  Result.OpenRequests =
+      request_count(openRequestLimit(Options.CommandCapacity));
   return Result;
 }
 
@@ -48,8 +49,7 @@
 struct forward_service::implementation {
   implementation(runtime_clock &Clock, forward_service_options GivenOptions)
       : Clock(Clock), Options(std::move(GivenOptions)),
-        Budget(budgetOptions(Options)), Callers(Budget), Requests(Budget),
-        Flow(Budget),
+        Budget(budgetOptions(Options)), Callers(Budget), Flow(Budget),
         Acceptor(Context,
                  [this](tcp::socket Socket) { accepted(std::move(Socket)); }),
         TimeoutTimer(Context), StopTimer(Context), Paused(Context),
@@ -179,11 +179,11 @@
     Requests.open(Exchange);
     if (HasRoom && Decide->tryPush(describeRequest(*Exchange, Options.Headers,
                                                    Clock.now())))
-      return;
+      return Budget.requestOpened();
     ++Counters.RefusedByBudget;
-    on(refuse_request{.Request = Exchange->Number,
-                      .Reason = refusal_reason::Overloaded,
-                      .RetryAfter = BudgetRetryAfter});
+    refuse(refuse_request{.Request = Exchange->Number,
+                          .Reason = refusal_reason::Overloaded,
+                          .RetryAfter = BudgetRetryAfter});
   }
 
   void bodyRead(caller_exchange &Exchange) {
@@ -276,16 +276,19 @@
     Requests.cancel(Command.Request, Command.Attempt);
   }
 
+  // A request counts until its last command: until then, others may come.
   void on(relay_answer &Command) {
+    if (Command.IsComplete)
+      Budget.requestClosed();
     const attempt_pointer Attempt =
         Requests.find(Command.Request, Command.Attempt);
     if (!Attempt)
       return;
     if (Attempt->IsBroken && !Attempt->IsComplete)
       // The response broke off before any byte was relayed.
-      return on(refuse_request{.Request = Command.Request,
-                               .Reason = refusal_reason::Unknown,
-                               .RetryAfter = std::nullopt});
+      return refuse(refuse_request{.Request = Command.Request,
+                                   .Reason = refusal_reason::Unknown,
+                                   .RetryAfter = std::nullopt});
     ++Counters.Relayed;
     caller_exchange &Exchange = *Attempt->Exchange;
     Attempt->IsRelaying = true;
@@ -352,7 +355,23 @@
     }
   }
 
-  void on(refuse_request Command) {
+  void on(refuse_request &Command) {
+    Budget.requestClosed();
+    refuse(Command);
+  }
+
+  void on(end_request &Command) {
+    Budget.requestClosed();
+    const exchange_pointer Exchange = Requests.find(Command.Request);
+    if (!Exchange)
+      return;
+    ++Counters.Aborted;
+    Requests.close(Command.Request);
+    if (const auto Caller = Exchange->Connection.lock())
+      Caller->abort();
+  }
+
+  void refuse(const refuse_request &Command) {
     const exchange_pointer Exchange = Requests.find(Command.Request);
     if (!Exchange)
       return;
--- a/modules/bw_forward/service/forward_service.h
+++ b/modules/bw_forward/service/forward_service.h
@@ -5,6 +5,7 @@
 #include "bw_forward/servers/relay_headers.h"
 #include "bw_forward/service/forward_counters.h"
 #include "bw_forward/service/forward_rings.h"
+#include "bw_gateway/messages/ring_bounds.h"
 #include "bw_kernel/services/service.h"
 #include "bw_resources/budget/budget_options.h"
 
@@ -20,7 +21,7 @@
   relay_headers Headers;
   /// Request and response bodies up to this size are buffered completely.
   byte_count BufferLimit = kibibytes(256);
-  std::size_t CommandCapacity = 8192;
+  std::size_t CommandCapacity = CommandRingCapacity;
   /// What this process may use, for all connections together.
   process_limits Limits;
   /// Delay between the start of a planned stop and the closing of idle caller
--- a/modules/bw_forward/service/open_requests.cpp
+++ b/modules/bw_forward/service/open_requests.cpp
@@ -18,14 +18,12 @@
 void open_requests::open(const exchange_pointer &Exchange) {
   Requests.emplace(Exchange->Number,
                    open_request{.Exchange = Exchange, .Attempts = {}});
-  Budget.requestOpened();
 }
 
 void open_requests::close(request_number Request) {
   auto Closed = Requests.extract(Request);
   if (Closed.empty())
     return;
-  Budget.requestClosed();
   for (const attempt_pointer &Each : Closed.mapped().Attempts)
     closeConnection(*Each);
 }
--- a/modules/bw_forward/service/open_requests.h
+++ b/modules/bw_forward/service/open_requests.h
@@ -2,7 +2,6 @@
 #define BW_FORWARD_SERVICE_OPEN_REQUESTS_H
 
 #include "bw_forward/servers/server_attempt.h"
-#include "bw_resources/budget/process_budget.h"
 
 #include <unordered_map>
 #include <vector>
@@ -13,9 +12,6 @@
 /// response, with their attempts.
 class open_requests {
 public:
-  /// The budget counts the requests; it must outlive them.
-  explicit open_requests(process_budget &Budget) : Budget(Budget) {}
-
   void open(const exchange_pointer &Exchange);
   /// Forgets the request and closes the connections of its attempts.
   void close(request_number Request);
@@ -39,7 +35,6 @@
     std::vector<attempt_pointer> Attempts;
   };
 
-  process_budget &Budget;
   std::unordered_map<request_number, open_request> Requests;
 };
 
--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -360,8 +360,9 @@
     Pool.release(Each->Server);
     Each = Request.Open.erase(Each);
   }
-  Out.push_back(
-      relay_answer{.Request = Found->first, .Attempt = Answer.Attempt});
+  Out.push_back(relay_answer{.Request = Found->first,
+                             .Attempt = Answer.Attempt,
+                             .IsComplete = Answer.IsComplete});
   report(Request,
          {.Step = request_step::Relayed,
           .Server = Answer.Server,
@@ -375,7 +376,6 @@
 
 void gateway_engine::on(const relay_ended &Event, time_point Now,
                         commands &Out) {
-  static_cast<void>(Out);
   const auto Found = Requests.find(Event.Request);
   if (Found == Requests.end())
     return;
@@ -383,6 +383,7 @@
       closeAttempt(Found->second, Event.Attempt);
   if (Ended && !Event.IsComplete)
     Pool.addPathFailure(Ended->Server, Now);
+  Out.emplace_back(end_request{Event.Request});
   finish(Found);
 }
 
@@ -402,6 +403,7 @@
     return;
   report(Found->second, {.Step = request_step::CallerLeft}, Now);
   cancelOpen(Event.Request, Found->second, Out);
+  Out.emplace_back(end_request{Event.Request});
   finish(Found);
 }
 
@@ -445,9 +447,14 @@
 void gateway_engine::handleTimer(const timer &Timer, time_point Now,
                                  commands &Out) {
   const auto Found = Requests.find(Timer.Request);
-  if (Found == Requests.end() || Found->second.IsRelaying)
+  if (Found == Requests.end())
     return;
   request_state &Request = Found->second;
+  if (Request.IsRelaying) {
+    if (Timer.Kind == timer_kind::Deadline)
+      breakOff(Found, Now, Out);
+    return;
+  }
   if (Timer.Kind == timer_kind::Deadline) {
     for (attempt &Each : Request.Open)
       countIfSlow(Request, Each, Now);
@@ -469,6 +476,23 @@
     startAttempt(Timer.Request, Request, request_step::Hedged, Now, Out);
 }
 
+// Whether the server or the caller is slow is not known, so this is no evidence
+// against the server.
+void gateway_engine::breakOff(request_map::iterator Found, time_point Now,
+                              commands &Out) {
+  request_state &Request = Found->second;
+  request_decision Decision{.Step = request_step::BrokenOff};
+  for (const attempt &Each : Request.Open) {
+    Decision.Server = Each.Server;
+    Decision.Attempt = Each.Number;
+    Pool.release(Each.Server);
+  }
+  Request.Open.clear();
+  Out.emplace_back(end_request{Found->first});
+  report(Request, std::move(Decision), Now);
+  finish(Found);
+}
+
 void gateway_engine::countIfSlow(request_state &Request, attempt &Attempt,
                                  time_point Now) {
   if (Attempt.IsSlow || Now - Attempt.Started < slowAfter(*Request.Route))
--- a/modules/bw_gateway/engine/gateway_engine.h
+++ b/modules/bw_gateway/engine/gateway_engine.h
@@ -157,6 +157,8 @@
               std::optional<duration> RetryAfter = std::nullopt);
   void endWithoutRetry(request_map::iterator Found, time_point Now,
                        commands &Out);
+  /// Ends a request whose answer is not complete at its deadline.
+  void breakOff(request_map::iterator Found, time_point Now, commands &Out);
   void schedule(request_state &Request, timer Timer);
   void finish(request_map::iterator Found);
   void handleTimer(const timer &Timer, time_point Now, commands &Out);
--- a/modules/bw_gateway/engine/gateway_engine_test.cpp
+++ b/modules/bw_gateway/engine/gateway_engine_test.cpp
@@ -1,4 +1,5 @@
 #include "bw_gateway/engine/gateway_engine.h"
+#include "bw_gateway/messages/ring_bounds.h"
 
 #include "bw_testing/runner/test_seed.h"
 
@@ -94,6 +95,9 @@
   CPPUNIT_TEST(answersAtTheRoutesTimeout);
   CPPUNIT_TEST(relaysTheServersErrorWhenRetriesFail);
   CPPUNIT_TEST(callerThatLeavesCancelsItsAttempts);
+  CPPUNIT_TEST(answersInRelayEndAtTheDeadline);
+  CPPUNIT_TEST(eachRequestHasOneLastCommand);
+  CPPUNIT_TEST(pendingCommandsOfARequestAreBounded);
   CPPUNIT_TEST(configurationNeverGoesBack);
   CPPUNIT_TEST(tellsTheServerNoMoreTimeThanIsLeft);
   CPPUNIT_TEST(keepsNothingOfFinishedRequests);
@@ -249,10 +253,73 @@
     configure();
     const auto First = only<start_attempt>(arrive("/read/1"));
     const auto Out = handle(caller_left{.Request = First.Request});
-    CPPUNIT_ASSERT(only<cancel_attempt>(Out).Attempt == First.Attempt);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Out.size());
+    CPPUNIT_ASSERT(std::get<cancel_attempt>(Out[0]).Attempt == First.Attempt);
+    CPPUNIT_ASSERT(std::get<end_request>(Out[1]).Request == First.Request);
     CPPUNIT_ASSERT(advance(10s).empty());
   }
 
+  // Guards against answers that are relayed without a bound in time, and
+  // against the slot of their server staying occupied.
+  void answersInRelayEndAtTheDeadline() {
+    configure();
+    const auto First = only<start_attempt>(arrive("/submit/1"));
+    const auto Relayed = only<relay_answer>(
+        handle(attempt_ended{.Request = First.Request,
+                             .Attempt = First.Attempt,
+                             .Outcome = attempt_outcome::Answered,
+                             .Status = 200,
+                             .IsComplete = false}));
+    CPPUNIT_ASSERT(!Relayed.IsComplete);
+    CPPUNIT_ASSERT(advance(2900ms).empty());
+    CPPUNIT_ASSERT(only<end_request>(advance(200ms)).Request == First.Request);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Engine->openRequests());
+    CPPUNIT_ASSERT(
+        handle(relay_ended{.Request = First.Request, .Attempt = First.Attempt})
+            .empty());
+  }
+
+  // Guards against a request that counts as open in the forward service for
+  // ever, or not long enough: exactly one command is the last.
+  void eachRequestHasOneLastCommand() {
+    configure();
+    const auto First = only<start_attempt>(arrive("/submit/1"));
+    handle(attempt_ended{.Request = First.Request,
+                         .Attempt = First.Attempt,
+                         .Outcome = attempt_outcome::Answered,
+                         .Status = 200,
+                         .IsComplete = false});
+    const relay_ended Ended{.Request = First.Request, .Attempt = First.Attempt};
+    CPPUNIT_ASSERT(only<end_request>(handle(Ended)).Request == First.Request);
+    CPPUNIT_ASSERT(handle(Ended).empty());
+    CPPUNIT_ASSERT(handle(caller_left{.Request = First.Request}).empty());
+    const auto Second = only<start_attempt>(arrive("/submit/1"));
+    CPPUNIT_ASSERT(
+        only<relay_answer>(end(Second, attempt_outcome::Answered, 200))
+            .IsComplete);
+    CPPUNIT_ASSERT(handle(caller_left{.Request = Second.Request}).empty());
+  }
+
+  // Guards against more commands for one request than the ring has places for:
+  // the most are those of a hedged request whose answer is broken off.
+  void pendingCommandsOfARequestAreBounded() {
+    configure();
+    std::size_t Commands = 0;
+    const auto First = only<start_attempt>(arrive("/read/1"));
+    const auto Second = only<start_attempt>(advance(500ms));
+    Commands += 2;
+    Commands += handle(attempt_ended{.Request = Second.Request,
+                                     .Attempt = Second.Attempt,
+                                     .Outcome = attempt_outcome::Answered,
+                                     .Status = 200,
+                                     .IsComplete = false})
+                    .size();
+    Commands += advance(10s).size();
+    CPPUNIT_ASSERT_EQUAL(MaxPendingCommands, Commands);
+    CPPUNIT_ASSERT(First.Request == Second.Request);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Engine->openRequests());
+  }
+
   // Guards against applying an outdated configuration from the store or another
   // host.
   void configurationNeverGoesBack() {
--- a/modules/bw_gateway/engine/gateway_log.h
+++ b/modules/bw_gateway/engine/gateway_log.h
@@ -20,6 +20,7 @@
   Refused,       ///< The gateway answered the request itself.
   CallerLeft,    ///< The caller closed its connection.
   AttemptFailed, ///< An attempt ended without an answer.
+  BrokenOff,     ///< A relayed answer was not complete at the deadline.
 };
 
 /// A decision about a request, with its inputs.
--- a/modules/bw_gateway/engine/load_pattern_test.cpp
+++ b/modules/bw_gateway/engine/load_pattern_test.cpp
@@ -292,6 +292,7 @@
   }
 
   void on(int, const refuse_request &Command) { Open.erase(Command.Request); }
+  void on(int, const end_request &) {}
   void on(int, const limits_changed &) {}
 
   // Exchanges reports as the peers duty does. The first host of each data
--- a/modules/bw_gateway/messages/gateway_commands.h
+++ b/modules/bw_gateway/messages/gateway_commands.h
@@ -43,6 +43,8 @@
 struct relay_answer {
   request_number Request;
   attempt_number Attempt;
+  /// The whole answer is buffered, so this is the last command for the request.
+  bool IsComplete = true;
 };
 
 /// Why the gateway answers a request itself instead of relaying an answer.
@@ -72,6 +74,13 @@
   std::optional<duration> RetryAfter;
 };
 
+/// The last command for a request whose answer was relayed before it was
+/// complete, or whose caller has left. If the answer is still being relayed, it
+/// is broken off.
+struct end_request {
+  request_number Request;
+};
+
 /// Announces the limits of a configuration that came into force.
 struct limits_changed {
   caller_limits Limits;
@@ -79,7 +88,7 @@
 
 using gateway_command =
     std::variant<start_attempt, cancel_attempt, relay_answer, refuse_request,
-                 limits_changed>;
+                 end_request, limits_changed>;
 
 } // namespace bw
 
--- a/modules/bw_gateway_daemon/decide/gateway_decide_service.h
+++ b/modules/bw_gateway_daemon/decide/gateway_decide_service.h
@@ -3,6 +3,7 @@
 
 #include "bw_forward/service/forward_rings.h"
 #include "bw_gateway/engine/gateway_engine.h"
+#include "bw_gateway/messages/ring_bounds.h"
 #include "bw_gateway_daemon/peers/peer_report_service.h"
 
 #include <atomic>
@@ -12,7 +13,7 @@
 
 struct gateway_decide_options {
   gateway_engine_options Engine;
-  std::size_t EventCapacity = 8192;
+  std::size_t EventCapacity = EventRingCapacity;
   /// Interval of reports to other hosts while requests are open.
   duration ReportInterval = std::chrono::milliseconds(80);
   /// Interval of reports that contain a new failure; failures within it are
--- a/modules/bw_gateway_daemon/log/decision_log.cpp
+++ b/modules/bw_gateway_daemon/log/decision_log.cpp
@@ -74,6 +74,12 @@
                      {"age_ms", Age},
                      {"time_left_ms", optionalMilliseconds(Decision.TimeLeft)},
                      {"version", std::to_string(Decision.Version.value())}});
+  case request_step::BrokenOff:
+    return logEvent(log_event::TransferAborted, {{"request", Request},
+                                                 {"server", Server},
+                                                 {"attempt", Attempt},
+                                                 {"reason", "deadline"},
+                                                 {"age_ms", Age}});
   case request_step::CallerLeft:
     return logEvent(log_event::CallerLeft,
                     {{"request", Request}, {"age_ms", Age}});
--- a/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
+++ b/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
@@ -74,6 +74,9 @@
     Metrics.count(Requests, {{"service", Service}, {"outcome", "refused"}});
     return Metrics.count(
         Refusals, {{"reason", std::string(refusalName(Decision.Reason))}});
+  case request_step::BrokenOff:
+    return Metrics.count(Requests,
+                         {{"service", Service}, {"outcome", "broken_off"}});
   case request_step::CallerLeft:
     return Metrics.count(Requests, {{"service", Service}, {"outcome", "left"}});
   }
--- a/modules/bw_gateway_daemon/peers/peer_report_service.cpp
+++ b/modules/bw_gateway_daemon/peers/peer_report_service.cpp
@@ -1,5 +1,6 @@
 #include "bw_gateway_daemon/peers/peer_report_service.h"
 
+#include "bw_gateway/messages/ring_bounds.h"
 #include "bw_http/server/http_server.h"
 #include "bw_kernel/log/log_event.h"
 #include "bw_kernel/services/service_registry.h"
@@ -271,13 +272,17 @@
 
 void peer_report_service::handleReport(host_report Report) {
   logNewerVersion(Report);
+  // Events of requests must find a place; a lost report is superseded by the
+  // next one.
+  const std::size_t KeptFree =
+      Decide->capacity() - reportPlaces(Decide->capacity());
   State->heard(Report.Observations.Host, Report.State);
   if (Report.Summary)
-    Decide->push(std::move(*Report.Summary));
+    Decide->tryPush(std::move(*Report.Summary), KeptFree);
   else if (Report.Aggregate)
-    Decide->push(std::move(*Report.Aggregate));
+    Decide->tryPush(std::move(*Report.Aggregate), KeptFree);
   else if (!Report.Observations.Servers.empty() || Report.Observations.HasLoad)
-    Decide->push(std::move(Report.Observations));
+    Decide->tryPush(std::move(Report.Observations), KeptFree);
 }
 
 // Requests newer lists and configurations from the hosts that have them.
--- a/modules/bw_gateway_fleet/fleet/gateway_fleet.cpp
+++ b/modules/bw_gateway_fleet/fleet/gateway_fleet.cpp
@@ -417,6 +417,9 @@
   finish(Command.Request, false);
 }
 
+// The fleet's answers are complete when they are relayed.
+void gateway_fleet::on(std::size_t, const end_request &) {}
+
 void gateway_fleet::on(std::size_t, const limits_changed &) {}
 
 void gateway_fleet::finish(request_number Number, bool IsServed) {
--- a/modules/bw_gateway_fleet/fleet/gateway_fleet.h
+++ b/modules/bw_gateway_fleet/fleet/gateway_fleet.h
@@ -74,6 +74,7 @@
   void on(std::size_t Index, const cancel_attempt &Command);
   void on(std::size_t Index, const relay_answer &Command);
   void on(std::size_t Index, const refuse_request &Command);
+  void on(std::size_t Index, const end_request &Command);
   void on(std::size_t Index, const limits_changed &Command);
   void finish(request_number Number, bool IsServed);
   void end(const fleet_attempt_pointer &Attempt, attempt_outcome Outcome,
--- a/modules/bw_kernel/rings/bounded_ring.h
+++ b/modules/bw_kernel/rings/bounded_ring.h
@@ -67,10 +67,12 @@
     return taken(std::move(Owned));
   }
 
-  /// As `push`, but refuses when the ring is full, whatever its policy.
-  bool tryPush(Item Value) {
+  /// As `push`, but refuses when the ring is full, whatever its policy, or when
+  /// fewer than `KeptFree` places would be left.
+  bool tryPush(Item Value, std::size_t KeptFree = 0) {
     auto Owned = std::make_unique<Item>(std::move(Value));
-    if (Closed.load() || !tryStore(Owned.get()))
+    if (Closed.load() || SizeEstimate.load() + KeptFree >= Options.Capacity ||
+        !tryStore(Owned.get()))
       return refuse();
     return taken(std::move(Owned));
   }
@@ -114,6 +116,7 @@
   }
 
   bool isClosed() const { return Closed.load(); }
+  std::size_t capacity() const { return Options.Capacity; }
 
   ring_counters counters() const {
     return {.Pushed = PushedCount.load(),
--- a/modules/bw_kernel/rings/bounded_ring_test.cpp
+++ b/modules/bw_kernel/rings/bounded_ring_test.cpp
@@ -11,6 +11,7 @@
 class bounded_ring_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(bounded_ring_test);
   CPPUNIT_TEST(refusesWhenFull);
+  CPPUNIT_TEST(keepsPlacesFree);
   CPPUNIT_TEST(dropsTheOldest);
   CPPUNIT_TEST(blockedPushEndsAtItsLimit);
   CPPUNIT_TEST(closedRingHandsOutWhatItHolds);
@@ -29,6 +30,15 @@
     CPPUNIT_ASSERT_EQUAL(1, *Ring.tryPop());
   }
 
+  // Guards against items that may be lost taking the places of others.
+  void keepsPlacesFree() {
+    bounded_ring<int> Ring(Clock, {.Capacity = 3});
+    CPPUNIT_ASSERT(Ring.tryPush(1, 2));
+    CPPUNIT_ASSERT(!Ring.tryPush(2, 2));
+    CPPUNIT_ASSERT(Ring.tryPush(2));
+    CPPUNIT_ASSERT(Ring.tryPush(3));
+  }
+
   void dropsTheOldest() {
     bounded_ring<int> Ring(
         Clock, {.Capacity = 2, .Overflow = overflow_policy::DropOldest});
--- a/modules/bw_resources/budget/process_budget.cpp
+++ b/modules/bw_resources/budget/process_budget.cpp
@@ -195,5 +195,6 @@
 }
 
 void process_budget::requestClosed() {
-  Usage.OpenRequests.set(Usage.OpenRequests.Used - 1);
+  if (Usage.OpenRequests.Used > 0)
+    Usage.OpenRequests.set(Usage.OpenRequests.Used - 1);
 }
