--- a/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
+++ b/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
@@ -127,6 +127,35 @@
           }};
 }
 
+void bw::addBudgetMetrics(metric_registry &Metrics,
+                          const forward_counters &Counters) {
+  const std::string Used = "bramleywinch_budget_used";
+  const std::string Peak = "bramleywinch_budget_peak";
+  const std::string Closed = "bramleywinch_callers_closed";
+  Metrics.describe(Used, "Used amount of each budget of the process.");
+  Metrics.describe(Peak, "Largest used amount since the start.");
+  Metrics.describe(Closed, "Callers closed because of a limit, by reason.");
+  const std::pair<const char *, const budget_gauge *> Budgets[] = {
+      {"caller_connections", &Counters.CallerConnectionsUsed},
+      {"server_connections", &Counters.ServerConnectionsUsed},
+      {"caller_bytes", &Counters.CallerBytes},
+      {"server_bytes", &Counters.ServerBytes},
+      {"open_requests", &Counters.OpenRequests}};
+  for (const auto &[Name, Gauge] : Budgets) {
+    Metrics.addGauge(Used, {{"budget", Name}},
+                     [G = Gauge] { return double(G->Used.load()); });
+    Metrics.addGauge(Peak, {{"budget", Name}},
+                     [G = Gauge] { return double(G->Peak.load()); });
+  }
+  for (std::uint8_t Index = 0; Index < CloseReasonCount; ++Index) {
+    const auto Reason = static_cast<close_reason>(Index);
+    Metrics.addGauge(Closed, {{"reason", std::string(closeReasonName(Reason))}},
+                     [&Counters, Reason] {
+                       return double(Counters.ClosedCallers.count(Reason));
+                     });
+  }
+}
+
 void bw::addDaemonMetrics(metric_registry &Metrics,
                           const metric_sources &Sources) {
   Metrics.describe(Requests, "Requests of callers by service and outcome.");
@@ -177,6 +206,14 @@
       });
   Add("bramleywinch_transfers_aborted", "Answers that broke off halfway.",
       [&F = S.Forward] { return double(F.counters().Aborted.load()); });
+  Add("bramleywinch_requests_refused_by_budget",
+      "Requests refused because a budget is used up.",
+      [&F = S.Forward] { return double(F.counters().RefusedByBudget.load()); });
+  Add("bramleywinch_attempts_without_connection",
+      "Attempts for which no server connection was left.", [&F = S.Forward] {
+        return double(F.counters().UnconnectedAttempts.load());
+      });
+  addBudgetMetrics(Metrics, S.Forward.counters());
   Add("bramleywinch_log_lines_written", "Log lines written.",
       [&L = S.Log] { return double(L.writtenLines()); });
   Add("bramleywinch_log_lines_dropped", "Log lines dropped.",
--- a/modules/bw_gateway_daemon/metrics/gateway_metrics.h
+++ b/modules/bw_gateway_daemon/metrics/gateway_metrics.h
@@ -1,6 +1,7 @@
 #ifndef BW_GATEWAY_DAEMON_METRICS_GATEWAY_METRICS_H
 #define BW_GATEWAY_DAEMON_METRICS_GATEWAY_METRICS_H
 
+#include "bw_forward/service/forward_counters.h"
 #include "bw_forward/service/forward_service.h"
 #include "bw_gateway/engine/gateway_log.h"
 #include "bw_gateway_daemon/decide/gateway_decide_service.h"
@@ -26,6 +27,11 @@
 /// Registers the descriptions of all daemon metrics, and the gauges.
 void addDaemonMetrics(metric_registry &Metrics, const metric_sources &Sources);
 
+/// Registers the budgets of the process and the callers closed because of them.
+/// The counters must outlive the registry.
+void addBudgetMetrics(metric_registry &Metrics,
+                      const forward_counters &Counters);
+
 /// Creates an observer that counts each decision. The registry must outlive it.
 gateway_observer makeDecisionMetrics(metric_registry &Metrics);
 
