Show the budgets of a gateway process in bwctl top

Cause: bwctl top shows requests and servers of a process, not how near it is to its limits.

Change: a line for each budget with its used and peak amount, and one with refused requests and closed callers by reason; programs without budgets show neither.

Measured: all tests of bw_reports pass, one of them new; lint and format are clean.

--- a/modules/bw_reports/metrics/metrics_glance.cpp
+++ b/modules/bw_reports/metrics/metrics_glance.cpp
@@ -35,6 +35,30 @@
   return Buckets.rbegin()->first;
 }
 
+// One line for each budget of the process, if it has any.
+std::string budgetLines(const metrics_page &Page) {
+  std::map<std::string, std::pair<double, double>> Budgets;
+  std::string Closed;
+  for (const metric_sample &Each : Page.Samples) {
+    if (Each.Name == "bramleywinch_budget_used")
+      Budgets[labelOf(Each, "budget")].first = Each.Value;
+    else if (Each.Name == "bramleywinch_budget_peak")
+      Budgets[labelOf(Each, "budget")].second = Each.Value;
+    else if (Each.Name == "bramleywinch_callers_closed")
+      Closed += fmt::format("  {} {:.0f}", labelOf(Each, "reason"), Each.Value);
+  }
+  if (Budgets.empty())
+    return "";
+  std::string Out =
+      fmt::format("{:<20} {:>12} {:>12}\n", "budget", "used", "peak");
+  for (const auto &[Name, Amount] : Budgets)
+    Out += fmt::format("{:<20} {:>12.0f} {:>12.0f}\n", Name, Amount.first,
+                       Amount.second);
+  return Out + fmt::format("refused {:.0f}  callers closed:{}\n",
+                           Page.sum("bramleywinch_requests_refused_by_budget"),
+                           Closed);
+}
+
 } // namespace
 
 std::string bw::glanceText(const metrics_page &Page) {
@@ -52,6 +76,7 @@
       Page.sum("bramleywinch_hosts_listed"),
       Page.sum("bramleywinch_server_list_age_seconds"),
       Page.sum("bramleywinch_log_lines_dropped"));
+  Out += budgetLines(Page);
   std::map<std::string, std::map<std::string, double>> Services;
   for (const metric_sample &Each : Page.Samples)
     if (Each.Name == "bramleywinch_requests_total")
--- a/modules/bw_reports/reports_test.cpp
+++ b/modules/bw_reports/reports_test.cpp
@@ -1,4 +1,5 @@
 #include "bw_reports/bw_reports.h"
+#include "bw_reports/metrics/metrics_glance.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -39,6 +40,7 @@
   CPPUNIT_TEST(metricsAreReadBackAsWritten);
   CPPUNIT_TEST(histogramBucketsAddUp);
   CPPUNIT_TEST(unreadableMetricLinesAreNamed);
+  CPPUNIT_TEST(glanceShowsBudgets);
   CPPUNIT_TEST(tellsTheStoryOfOneRequest);
   CPPUNIT_TEST(namesUnreadableLogLines);
   CPPUNIT_TEST(aRequestWithoutLinesIsSaidSo);
@@ -49,6 +51,22 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // Guards against a budget that is used up and not seen at a glance, and
+  // against a heading of budgets for programs that have none.
+  void glanceShowsBudgets() {
+    const std::string Text = glanceText(
+        parseMetrics("bramleywinch_budget_used{budget=\"caller_bytes\"} 300\n"
+                     "bramleywinch_budget_peak{budget=\"caller_bytes\"} 500\n"
+                     "bramleywinch_callers_closed{reason=\"idle\"} 7\n"
+                     "bramleywinch_requests_refused_by_budget 9\n"));
+    CPPUNIT_ASSERT(
+        Text.find("caller_bytes                  300          500\n") !=
+        Text.npos);
+    CPPUNIT_ASSERT(Text.find("refused 9  callers closed:  idle 7\n") !=
+                   Text.npos);
+    CPPUNIT_ASSERT(glanceText({}).find("budget") == std::string::npos);
+  }
+
   void metricsAreReadBackAsWritten() {
     metric_registry Metrics;
     Metrics.describe("a_total", "Help.");
