--- a/modules/bw_gateway/engine/gateway_engine.h
+++ b/modules/bw_gateway/engine/gateway_engine.h
@@ -173,6 +173,8 @@
                        commands &Out);
   /// Returns the token of a request that no server ran.
   void returnToken(request_state &Request, time_point Now);
+  /// Ends a request whose answer is not complete at its deadline.
+  void breakOff(request_map::iterator Found, time_point Now, commands &Out);
   void schedule(request_state &Request, timer Timer);
   void finish(request_map::iterator Found);
   void handleTimer(const timer &Timer, time_point Now, commands &Out);
