Make the test of a closing response fail without the product's change

Cause: the socket's buffer took the whole response of the first version of this test, so it passed whatever the time for lingering did.

Change: a response of 3 MB is handed to the socket at once, to a caller with small segments and a small window, so most of it waits in the process.

--- a/modules/bw_forward/service/forward_budget_test.cpp
+++ b/modules/bw_forward/service/forward_budget_test.cpp
@@ -6,6 +6,10 @@
 
 #include <thread>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 using namespace bw;
 using namespace std::chrono_literals;
 
@@ -18,7 +22,6 @@
   CPPUNIT_TEST(requestBehindExpectedLongResponseWaits);
   CPPUNIT_TEST(waitingCountsTowardsTheDeadline);
   CPPUNIT_TEST(endedRequestResetsItsCaller);
-  CPPUNIT_TEST(closingResponseIsWrittenWhileItMakesProgress);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -141,14 +144,52 @@
     CPPUNIT_ASSERT(!Decide->events().tryPop());
   }
 
-  // Guards against a last response that is cut while its caller reads it: the
-  // socket's buffer holds more than the caller takes in the time for lingering.
+protected:
+  // Three connections of callers and two of servers.
+  forward_service_options options() const override {
+    return {.BufferLimit = kibibytes(64), .Limits = {.Descriptors = 264 + 5}};
+  }
+
+private:
+  static constexpr std::size_t LongSize = 150'000;
+  static constexpr std::size_t SentFirst = 100'000;
+
+  // Relays the first part of a long response.
+  std::unique_ptr<test_socket> beginLong(const request_arrived &Arrived) {
+    auto Connection = start(Arrived);
+    Connection->readUntil("\r\n\r\n");
+    const std::string Whole =
+        answer(Arrived.Label.value(), std::string(LongSize, 'x'));
+    Connection->write(Whole.substr(0, Whole.size() - LongSize + SentFirst));
+    CPPUNIT_ASSERT(!Decide->next<attempt_ended>().IsComplete);
+    command(
+        relay_answer{.Request = Arrived.Request, .Attempt = attempt_number(1)});
+    Caller->readUntil("xxx");
+    return Connection;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(forward_budget_test);
+
+/// The whole response is handed to the socket at once.
+class closing_response_test : public forward_test_fixture {
+  CPPUNIT_TEST_SUITE(closing_response_test);
+  CPPUNIT_TEST(closingResponseIsWrittenWhileItMakesProgress);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against a last response that is cut while its caller reads it: small
+  // segments and a small window keep its last part out of the socket's buffer
+  // for longer than the time for lingering.
   void closingResponseIsWrittenWhileItMakesProgress() {
     constexpr std::size_t Size = 3'000'000;
-    constexpr int SmallBuffer = 8192;
+    constexpr int SmallBuffer = 16'384;
+    constexpr int SegmentSize = 1400;
     test_socket Slow;
     Slow.Socket.open(asio::ip::tcp::v4());
     Slow.Socket.set_option(asio::socket_base::receive_buffer_size(SmallBuffer));
+    ::setsockopt(Slow.Socket.native_handle(), IPPROTO_TCP, TCP_MAXSEG,
+                 &SegmentSize, sizeof SegmentSize);
     Slow.connect(Forward->port());
     Slow.write(request("r1", "GET", "", "Connection: close\r\n"));
     const auto Arrived = Decide->next<request_arrived>();
@@ -158,9 +199,10 @@
         [&] { Connection->write(answer("r1", std::string(Size, 'x'))); });
     relay(Arrived);
     std::size_t Got = 0;
-    // About five seconds, in steps that each make progress.
+    char Buffer[1000];
     for (int Step = 0; Step < 50; ++Step) {
-      Got += Slow.readSome().size();
+      asio::error_code Code;
+      Got += Slow.Socket.read_some(asio::buffer(Buffer), Code);
       std::this_thread::sleep_for(100ms);
     }
     for (std::string Part = Slow.readSome(); !Part.empty();
@@ -172,28 +214,9 @@
   }
 
 protected:
-  // Three connections of callers and two of servers.
   forward_service_options options() const override {
-    return {.BufferLimit = kibibytes(64), .Limits = {.Descriptors = 264 + 5}};
-  }
-
-private:
-  static constexpr std::size_t LongSize = 150'000;
-  static constexpr std::size_t SentFirst = 100'000;
-
-  // Relays the first part of a long response.
-  std::unique_ptr<test_socket> beginLong(const request_arrived &Arrived) {
-    auto Connection = start(Arrived);
-    Connection->readUntil("\r\n\r\n");
-    const std::string Whole =
-        answer(Arrived.Label.value(), std::string(LongSize, 'x'));
-    Connection->write(Whole.substr(0, Whole.size() - LongSize + SentFirst));
-    CPPUNIT_ASSERT(!Decide->next<attempt_ended>().IsComplete);
-    command(
-        relay_answer{.Request = Arrived.Request, .Attempt = attempt_number(1)});
-    Caller->readUntil("xxx");
-    return Connection;
+    return {.BufferLimit = mebibytes(4)};
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(forward_budget_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(closing_response_test);
