Admit requests inside an allowance without rationing tokens

Change: while hosts hear of all others and the total demand is inside the allowance, a request needs no token but is still taken off bucket and pool, which may fall into debt.

--- a/modules/bw_customers/allowances/allowance_bucket.cpp
+++ b/modules/bw_customers/allowances/allowance_bucket.cpp
@@ -30,7 +30,7 @@
 bool allowance_bucket::tryTake(time_point Now) {
   refill(Now);
   // After a returned token, a request is admitted without taking another.
-  const double Taken = ToMark <= 0 ? 0 : std::min(Tokens, 1.0);
+  const double Taken = ToMark <= 0 ? 0 : std::clamp(Tokens, 0.0, 1.0);
   Tokens -= Taken;
   ToMark -= Taken;
   if (ToMark > 0)
@@ -39,6 +39,11 @@
   return true;
 }
 
+void allowance_bucket::take(time_point Now) {
+  refill(Now);
+  Tokens -= 1;
+}
+
 void allowance_bucket::giveBack(time_point Now) {
   refill(Now);
   if (Share.Depth >= 1)
--- a/modules/bw_customers/allowances/allowance_bucket.h
+++ b/modules/bw_customers/allowances/allowance_bucket.h
@@ -34,6 +34,9 @@
   void setShare(allowance_share Share, time_point Now);
   /// Takes a token for a request; false if the request must be refused.
   bool tryTake(time_point Now);
+  /// Takes a token for a request that is admitted in any case. The bucket may
+  /// end up in debt, which later requests have to wait for.
+  void take(time_point Now);
   /// Fills the bucket up to this number of tokens, or to its depth if that is
   /// less.
   void fillTo(double Wanted, time_point Now);
--- a/modules/bw_customers/allowances/allowance_shares.cpp
+++ b/modules/bw_customers/allowances/allowance_shares.cpp
@@ -28,6 +28,11 @@
 // take its place.
 constexpr double MinDepthSeconds = 0.1;
 constexpr double MinDepthOfSlack = 0.1;
+// Part of the excess that demand may use without being rationed.
+constexpr double InsideExcessPart = 0.5;
+// A host without demand may admit a first request if each of them has a tenth
+// of a request a second of the rate.
+constexpr double FirstRequestFactor = 10;
 // A side that hears a third of the hosts or less is left a small part, a side
 // that hears two thirds uses the whole rate.
 constexpr double SmallSide = 1.0 / 3;
@@ -97,6 +102,29 @@
   return Result;
 }
 
+// Demand inside the allowance is not rationed: the shares of many hosts are far
+// below one request, so much of them would be lost. Half of the excess covers
+// demand above the rate, the rest what comes before the hosts know of a rise.
+// A host whose demand has grown more than its share could is not covered by the
+// total, nor is one of a customer with less than a tenth of a request a second
+// for each host, where one request at each would exceed the allowance.
+bool allowance_shares::isInside(const customer_allowance &Allowance,
+                                std::uint32_t Hosts,
+                                const std::optional<confirmed_demand> &Demand,
+                                request_rate Recent) const {
+  if (!Demand || Demand->Factor < ratio(1))
+    return false;
+  const double Seconds = std::chrono::duration<double>(Bounds.Window).count();
+  const double Inside =
+      Allowance.Rate.value() + InsideExcessPart * excess(Allowance) / Seconds;
+  const double Growth =
+      Allowance.Rate.value() / quietTotal(Allowance.Rate).value();
+  const double First = std::min(
+      1.0, FirstRequestFactor * Allowance.Rate.value() / std::max(Hosts, 1U));
+  return Demand->Total.value() <= Inside &&
+         Recent.value() <= Growth * Demand->Own.value() + First;
+}
+
 ratio allowance_shares::sideFactor(ratio Given) const {
   const double Margin = Bounds.Overshoot.value() / 2;
   const double Heard = std::clamp(Given.value(), 0.0, 1.0);
--- a/modules/bw_customers/allowances/allowance_shares.h
+++ b/modules/bw_customers/allowances/allowance_shares.h
@@ -56,6 +56,12 @@
   static double pooledTokens(double Pool, request_rate Rate,
                              std::uint32_t LocalHosts);
 
+  /// True if the demand at all hosts is inside the allowance, so that requests
+  /// need no token. `Recent` is the demand at this host now.
+  bool isInside(const customer_allowance &Allowance, std::uint32_t Hosts,
+                const std::optional<confirmed_demand> &Demand,
+                request_rate Recent) const;
+
   /// Part of each rate that hosts may use which hear from this fraction of the
   /// listed hosts, themselves included. The parts of all sides of a partition
   /// add up to at most 1 plus half the overshoot.
--- a/modules/bw_customers/allowances/host_allowances.cpp
+++ b/modules/bw_customers/allowances/host_allowances.cpp
@@ -117,11 +117,15 @@
   Record.LastAsked = Now;
   updateShare(Customer, *Allowance, Record, Now);
   const auto Confirmed = confirmed(Customer, Now);
-  allowance_decision Result{.IsAdmitted = Record.Bucket.tryTake(Now),
-                            .IsLimited = true,
-                            .Share = Record.Bucket.share().Rate,
-                            .Total =
-                                Confirmed ? Confirmed->Total : request_rate(0)};
+  const bool IsInside =
+      Shares.isInside(*Allowance, Hosts, Confirmed, Record.Meter.rate(Now));
+  if (IsInside)
+    Record.Bucket.take(Now);
+  allowance_decision Result{
+      .IsAdmitted = IsInside || Record.Bucket.tryTake(Now),
+      .IsLimited = true,
+      .Share = Record.Bucket.share().Rate,
+      .Total = Confirmed ? Confirmed->Total : request_rate(0)};
   // The reported count only rises, as a lower one stands for a restart.
   if (Result.IsAdmitted && Record.Returned > 0)
     --Record.Returned;
