Decide what spills to other data centres, not used yet

Cause: the fixed weight for remote servers makes all hosts send to the same free capacity and ignores bytes and swings of demand.

The choice of server does not use it yet: hosts other than aggregators do not know how old the load of another data centre is, and no route says that it is a download.

--- a/modules/bw_admission/bw_admission.h
+++ b/modules/bw_admission/bw_admission.h
@@ -11,5 +11,6 @@
 #include "bw_admission/room/room_estimate.h"
 #include "bw_admission/room/room_share.h"
 #include "bw_admission/room/urgency.h"
+#include "bw_admission/spill/spill_policy.h"
 
 #endif
