--- a/modules/bw_customers/allowances/allowance_shares.cpp
+++ b/modules/bw_customers/allowances/allowance_shares.cpp
@@ -30,9 +30,9 @@
 constexpr double MinDepthOfSlack = 0.1;
 // Part of the excess that demand may use without being rationed.
 constexpr double InsideExcessPart = 0.5;
-// A host without demand may admit a first request if each of them has a tenth
-// of a request a second of the rate.
-constexpr double FirstRequestFactor = 10;
+// Demand at which a host without confirmed demand begins to ration: one request
+// in the last second.
+constexpr double FirstRequestRate = 1;
 // A side that hears a third of the hosts or less is left a small part, a side
 // that hears two thirds uses the whole rate.
 constexpr double SmallSide = 1.0 / 3;
@@ -106,10 +106,8 @@
 // below one request, so much of them would be lost. Half of the excess covers
 // demand above the rate, the rest what comes before the hosts know of a rise.
 // A host whose demand has grown more than its share could is not covered by the
-// total, nor is one of a customer with less than a tenth of a request a second
-// for each host, where one request at each would exceed the allowance.
+// total.
 bool allowance_shares::isInside(const customer_allowance &Allowance,
-                                std::uint32_t Hosts,
                                 const std::optional<confirmed_demand> &Demand,
                                 request_rate Recent) const {
   if (!Demand || Demand->Factor < ratio(1))
@@ -119,10 +117,8 @@
       Allowance.Rate.value() + InsideExcessPart * excess(Allowance) / Seconds;
   const double Growth =
       Allowance.Rate.value() / quietTotal(Allowance.Rate).value();
-  const double First = std::min(
-      1.0, FirstRequestFactor * Allowance.Rate.value() / std::max(Hosts, 1U));
   return Demand->Total.value() <= Inside &&
-         Recent.value() <= Growth * Demand->Own.value() + First;
+         Recent.value() <= Growth * Demand->Own.value() + FirstRequestRate;
 }
 
 ratio allowance_shares::sideFactor(ratio Given) const {
--- a/modules/bw_customers/allowances/allowance_shares.h
+++ b/modules/bw_customers/allowances/allowance_shares.h
@@ -58,7 +58,7 @@
 
   /// True if the demand at all hosts is inside the allowance, so that requests
   /// need no token. `Recent` is the demand at this host now.
-  bool isInside(const customer_allowance &Allowance, std::uint32_t Hosts,
+  bool isInside(const customer_allowance &Allowance,
                 const std::optional<confirmed_demand> &Demand,
                 request_rate Recent) const;
 
--- a/modules/bw_customers/allowances/host_allowances.cpp
+++ b/modules/bw_customers/allowances/host_allowances.cpp
@@ -118,7 +118,7 @@
   updateShare(Customer, *Allowance, Record, Now);
   const auto Confirmed = confirmed(Customer, Now);
   const bool IsInside =
-      Shares.isInside(*Allowance, Hosts, Confirmed, Record.Meter.rate(Now));
+      Shares.isInside(*Allowance, Confirmed, Record.Meter.rate(Now));
   if (IsInside)
     Record.Bucket.take(Now);
   allowance_decision Result{
