Leave the queue of waiting requests off in the daemon

Change: an option of the engine switches the queue on; tests and load patterns do, the daemon does not. The balance by expected work stays.

--- a/modules/bw_gateway/admission/request_admission_test.cpp
+++ b/modules/bw_gateway/admission/request_admission_test.cpp
@@ -46,7 +46,7 @@
 public:
   void setUp() override {
     Engine = std::make_unique<gateway_engine>(
-        gateway_engine_options{.Seed = testSeed()});
+        gateway_engine_options{.Seed = testSeed(), .QueuesByUrgency = true});
     Now = time_point(100s);
     LastRequest = {};
   }
--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -645,7 +645,8 @@
   Configuration = Event.Configuration;
   Routes = host_routes(*Configuration);
   Customers.setConfiguration(Configuration, Now);
-  Waiting.setConfiguration(*Configuration);
+  if (Options.QueuesByUrgency)
+    Waiting.setConfiguration(*Configuration);
   Out.push_back(limits_changed{Configuration->Limits});
 }
 
--- a/modules/bw_gateway/engine/gateway_engine.h
+++ b/modules/bw_gateway/engine/gateway_engine.h
@@ -36,6 +36,10 @@
   duration DefaultTimeout = std::chrono::seconds(30);
   /// Bounds of the allowances of customers; nothing if they are not enforced.
   std::optional<allowance_bounds> Allowances = {};
+  /// Where routes have different priorities or the configuration names
+  /// customers, new requests wait at this host until a server has room for
+  /// their urgency.
+  bool QueuesByUrgency = false;
   gateway_observer Observer = {};
 };
 
--- a/modules/bw_gateway/engine/load_pattern_fleet_test.cpp
+++ b/modules/bw_gateway/engine/load_pattern_fleet_test.cpp
@@ -60,7 +60,8 @@
                  .OwnDataCentre = dataCentreOf(Host),
                  .EjectAtFailureShare = Policy.EjectAt,
                  .ProbeShare = Policy.ProbeShare,
-                 .Choose = Policy.Choice()}}));
+                 .Choose = Policy.Choice()},
+        .QueuesByUrgency = true}));
     handle(Host, configuration_read{Configuration});
     handle(Host, List);
     handle(Host, hosts_counted{.Hosts = std::uint32_t(Pattern.Hosts)});
