Let aggregators of data centres find each other

An aggregator sent its summaries only to those hosts of another data centre that it heard from. Two first aggregators that had never heard from each other exchanged nothing for as long as each heard the second one of the other side.

Aggregators now send their state every 800 ms to the highest-ranked listed hosts of a data centre that they do not hear from. The sum of silent demand in a summary is also clamped to the rate, as rounding could make receivers reject the message.

--- a/modules/bw_customers/allowances/demand_exchange.cpp
+++ b/modules/bw_customers/allowances/demand_exchange.cpp
@@ -339,7 +339,9 @@
       Result.Customers.push_back(
           {.Customer = Customer,
            .Rate = request_rate(Sum.Local.Rate),
-           .Silent = request_rate(std::max(0.0, Sum.Local.Silent))});
+           // Rounding of the sums must not make it larger than the rate.
+           .Silent = request_rate(
+               std::clamp(Sum.Local.Silent, 0.0, Sum.Local.Rate))});
   keepLargest(Result.Customers,
               [](const customer_total &Each) { return Each.Rate; });
   return Result;
--- a/modules/bw_gateway/hosts/host_directory.cpp
+++ b/modules/bw_gateway/hosts/host_directory.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <set>
 
 using namespace bw;
 
@@ -116,20 +115,46 @@
   return Result.empty() ? localHosts(Random) : Result;
 }
 
-std::vector<gateway_host>
-host_directory::remoteAggregators(time_point Now, random_source &Random) const {
-  std::set<data_centre_id> DataCentres;
+std::set<data_centre_id> host_directory::remoteDataCentres() const {
+  std::set<data_centre_id> Result;
   for (const auto &[Name, Entry] : Hosts)
     if (!isLocal(Entry))
-      DataCentres.insert(Entry.Host.DataCentre);
+      Result.insert(Entry.Host.DataCentre);
+  return Result;
+}
+
+std::vector<gateway_host>
+host_directory::rankedHostsIn(const data_centre_id &DataCentre) const {
+  std::vector<gateway_host> Result = hostsIn(DataCentre);
+  std::sort(Result.begin(), Result.end(), ranksBefore);
+  return Result;
+}
+
+std::vector<gateway_host>
+host_directory::unheardRemoteAggregators(time_point Now) const {
+  std::vector<gateway_host> Result;
+  for (const data_centre_id &Each : remoteDataCentres()) {
+    // Without a live host, `remoteAggregators` covers the data centre.
+    if (liveAggregatorsIn(Each, Now).empty())
+      continue;
+    std::vector<gateway_host> Ranked = rankedHostsIn(Each);
+    Ranked.resize(std::min(Ranked.size(), Options.Aggregators));
+    for (gateway_host &Host : Ranked)
+      if (!isLive(Hosts.at(Host.Host), Now))
+        Result.push_back(std::move(Host));
+  }
+  return Result;
+}
+
+std::vector<gateway_host>
+host_directory::remoteAggregators(time_point Now, random_source &Random) const {
   std::vector<gateway_host> Result;
-  for (const data_centre_id &Each : DataCentres) {
+  for (const data_centre_id &Each : remoteDataCentres()) {
     std::vector<gateway_host> Known = liveAggregatorsIn(Each, Now);
     if (Known.empty()) {
       // The highest-ranked hosts are probably the aggregators. Random hosts
       // cover the case that those are down.
-      std::vector<gateway_host> Listed = hostsIn(Each);
-      std::sort(Listed.begin(), Listed.end(), ranksBefore);
+      std::vector<gateway_host> Listed = rankedHostsIn(Each);
       const auto First =
           Listed.begin() + static_cast<std::ptrdiff_t>(
                                std::min(Listed.size(), Options.Aggregators));
--- a/modules/bw_gateway/hosts/host_directory.h
+++ b/modules/bw_gateway/hosts/host_directory.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace bw {
@@ -102,6 +103,11 @@
   /// no live host, returns its likely aggregators and some random hosts.
   std::vector<gateway_host> remoteAggregators(time_point Now,
                                               random_source &Random) const;
+  /// Returns the highest-ranked listed hosts of other data centres that are not
+  /// live here although others of their data centre are. They may be its
+  /// aggregators: two hosts that send only to those they hear from would never
+  /// begin to exchange summaries.
+  std::vector<gateway_host> unheardRemoteAggregators(time_point Now) const;
   /// Returns the other hosts of the own data centre, at most `MaxTargets`.
   std::vector<gateway_host> localHosts(random_source &Random) const;
   /// Returns random hosts of the own and of other data centres. Updates that
@@ -192,6 +198,9 @@
   std::vector<gateway_host> liveAggregatorsIn(const data_centre_id &DataCentre,
                                               time_point Now) const;
   std::vector<gateway_host> hostsIn(const data_centre_id &DataCentre) const;
+  std::vector<gateway_host>
+  rankedHostsIn(const data_centre_id &DataCentre) const;
+  std::set<data_centre_id> remoteDataCentres() const;
   /// Returns the other live hosts that follow the configuration in the store.
   std::vector<gateway_host> configurationFollowers(time_point Now) const;
 
--- a/modules/bw_gateway/hosts/host_directory_test.cpp
+++ b/modules/bw_gateway/hosts/host_directory_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(loadIsReportedToTheAggregatorsAlone);
   CPPUNIT_TEST(allHostsGetReportsWhileNoAggregatorIsLive);
   CPPUNIT_TEST(summariesGoToTheAggregatorsOfOtherDataCentres);
+  CPPUNIT_TEST(aggregatorsOfAllDataCentresFindEachOther);
   CPPUNIT_TEST(messagesToManyHostsAreLimited);
   CPPUNIT_TEST(largeHostsAreTheAggregators);
   CPPUNIT_TEST(hostsComeFromAnAggregator);
@@ -100,6 +101,40 @@
                          Hosts.randomHosts(1, 1, Random).size());
   }
 
+  // Guards against aggregators that never exchange summaries because each sends
+  // only to those that it hears from.
+  void aggregatorsOfAllDataCentresFindEachOther() {
+    std::map<std::string, host_directory> Aggregators;
+    for (const std::string Each : {"a1", "a2", "b1", "b2"})
+      Aggregators.emplace(Each, directory(Each));
+    const auto Hears = [&](const std::string &At, const std::string &From) {
+      Aggregators.at(At).recordReport(host_id(From), {}, Now);
+    };
+    Hears("a1", "b2");
+    Hears("a2", "b2");
+    Hears("b1", "a2");
+    Hears("b2", "a2");
+    CPPUNIT_ASSERT(names(Aggregators.at("a1").unheardRemoteAggregators(Now)) ==
+                   std::set<std::string>{"b1"});
+    for (int Round = 0; Round < 2; ++Round) {
+      Now += 800ms;
+      for (const std::string From : {"a1", "a2", "b1", "b2"}) {
+        const host_directory &Hosts = Aggregators.at(From);
+        auto Targets = names(Hosts.remoteAggregators(Now, Random));
+        Targets.merge(names(Hosts.unheardRemoteAggregators(Now)));
+        for (const std::string &To : Targets)
+          if (Aggregators.contains(To))
+            Hears(To, From);
+      }
+    }
+    for (const std::string Each : {"a1", "b1"}) {
+      const host_directory &Hosts = Aggregators.at(Each);
+      CPPUNIT_ASSERT(Hosts.unheardRemoteAggregators(Now).empty());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2),
+                           Hosts.remoteAggregators(Now, Random).size());
+    }
+  }
+
   void messagesToManyHostsAreLimited() {
     host_directory Hosts({.Self = host("h0", "a"), .MaxTargets = 8});
     std::vector<gateway_host> Many(200);
--- a/modules/bw_gateway_daemon/peers/peer_report_service.cpp
+++ b/modules/bw_gateway_daemon/peers/peer_report_service.cpp
@@ -162,6 +162,7 @@
   std::vector<gateway_host> Near;
   std::vector<gateway_host> Aggregators;
   std::vector<gateway_host> Far;
+  std::vector<gateway_host> Unheard;
   const bool IsSilent = !Report.Aggregate &&
                         Report.Observations.Servers.empty() &&
                         Report.Observations.Demands.empty();
@@ -177,6 +178,11 @@
       Far = Hosts.remoteAggregators(Now, Generator);
       LastSentFar = Now;
     }
+    if (Duty.IsAggregator &&
+        Now - LastSentUnheard >= Options.IdleReportInterval) {
+      Unheard = Hosts.unheardRemoteAggregators(Now);
+      LastSentUnheard = Now;
+    }
     return 0;
   });
   LastSent = Clock.now();
@@ -196,6 +202,7 @@
     }
   }
   host_report Summary = makeStateReport();
+  sendTo(Unheard, encodeReport(Summary));
   if (!Report.Summary)
     return sendTo(Far, encodeReport(Summary));
   for (load_summary &Part :
--- a/modules/bw_gateway_daemon/peers/peer_report_service.h
+++ b/modules/bw_gateway_daemon/peers/peer_report_service.h
@@ -99,6 +99,7 @@
   std::atomic<bool> IsAggregator = false;
   time_point LastSent{};
   time_point LastSentFar{};
+  time_point LastSentUnheard{};
   /// When another host was first seen with a newer configuration; used by the
   /// receiving thread.
   std::optional<time_point> BehindSince;
