Keep a new host from speaking for its data centre

A host that joined took itself for the first aggregator for about 1.2 s, as the others did not send to it before they listed it. It sent summaries with its own load only, and receivers replaced the sums of the whole data centre by them: in a trace of 17 hosts that joined 130, the others counted 2 instead of 46 hosts of a data centre, used a factor of 0.09 to 0.28 of all allowances, and counted almost no requests in flight there.

A host now sends sums only when it hears half of the listed hosts of its data centre, or 4 s after its first list. A change of this alone does not discard collected outcomes. A new aggregator of a side that may use the whole rate sends totals after 250 ms instead of 800 ms.

--- a/modules/bw_customers/allowances/demand_exchange.cpp
+++ b/modules/bw_customers/allowances/demand_exchange.cpp
@@ -268,7 +268,10 @@
 }
 
 bool demand_exchange::isWarm(time_point Now) const {
-  return Now - AggregatorSince >= WarmUp || heard(Now) >= ratio(1);
+  const ratio Heard = heard(Now);
+  return Now - AggregatorSince >= WarmUp || Heard >= ratio(1) ||
+         (Now - AggregatorSince >= LargeSideWarmUp &&
+          Shares.sideFactor(Heard) >= ratio(1));
 }
 
 // Part of the rate that silent hosts cannot use.
--- a/modules/bw_customers/allowances/demand_exchange.h
+++ b/modules/bw_customers/allowances/demand_exchange.h
@@ -59,6 +59,9 @@
   /// A new aggregator sends no totals until it has heard from all listed hosts,
   /// or for this long, in which each of them sends a message.
   static constexpr duration WarmUp = std::chrono::milliseconds(800);
+  /// The same if it hears enough hosts to use the whole rate: a host that has
+  /// demand sends three reports in this time.
+  static constexpr duration LargeSideWarmUp = std::chrono::milliseconds(250);
 
   /// Number of hosts until it is known. A small number would let each of many
   /// hosts that start together use all of a rate.
--- a/modules/bw_gateway/hosts/host_directory.cpp
+++ b/modules/bw_gateway/hosts/host_directory.cpp
@@ -26,6 +26,8 @@
 
 void host_directory::setListedHosts(const std::vector<gateway_host> &List,
                                     time_point Now) {
+  if (!ListedSince)
+    ListedSince = Now;
   std::set<host_id> Names;
   for (const gateway_host &Each : List) {
     if (Each.Host == Options.Self.Host)
@@ -260,7 +262,24 @@
 
 exchange_duty host_directory::duty(time_point Now) const {
   const std::size_t Rank = ownRank(Now);
-  return {.IsAggregator = Rank < Options.Aggregators, .IsFirst = Rank == 0};
+  return {.IsAggregator = Rank < Options.Aggregators,
+          .IsFirst = Rank == 0,
+          .IsInformed = isInformed(Now)};
+}
+
+bool host_directory::isInformed(time_point Now) const {
+  if (!ListedSince)
+    return false;
+  if (Now - *ListedSince >= Options.InformedAfter)
+    return true;
+  // This host counts as listed and live.
+  std::size_t Listed = 1;
+  std::size_t Live = 1;
+  for (const auto &[Name, Entry] : Hosts) {
+    Listed += isLocal(Entry);
+    Live += isLocal(Entry) && isLive(Entry, Now);
+  }
+  return 2 * Live >= Listed;
 }
 
 std::size_t host_directory::dataCentreRank(time_point Now) const {
--- a/modules/bw_gateway/hosts/host_directory.h
+++ b/modules/bw_gateway/hosts/host_directory.h
@@ -18,6 +18,10 @@
   /// A host counts as live until no report has arrived for this long. Hosts
   /// report at least once a second.
   duration LivenessTimeout = std::chrono::milliseconds(2500);
+  /// A host that hears less than half of the listed hosts of its data centre
+  /// sends no sums of their load for this long after it got its first list. The
+  /// others list a new host within 3 s and report to it within another second.
+  duration InformedAfter = std::chrono::seconds(4);
   /// A listed host without reports for this long is removed from the store.
   duration RemoveAfter = std::chrono::seconds(60);
   /// Removal time for the hosts of a data centre none of whose hosts report,
@@ -183,6 +187,7 @@
   /// Order in which hosts are asked for a configuration, lowest first.
   int fetchRank(const entry &Entry, time_point Now) const;
   /// Number of live hosts of the own data centre that rank before this one.
+  bool isInformed(time_point Now) const;
   std::size_t ownRank(time_point Now) const;
   /// Number of data centres with a live host that ranks before all hosts of the
   /// own data centre. The first data centre reads the server list for all.
@@ -206,6 +211,8 @@
 
   host_directory_options Options;
   std::map<host_id, entry> Hosts;
+  /// When the first list was set.
+  std::optional<time_point> ListedSince;
   host_state Own;
   time_point OwnListReadAt{};
   /// When another host last read the current server list of this host from the
--- a/modules/bw_gateway/hosts/host_directory_test.cpp
+++ b/modules/bw_gateway/hosts/host_directory_test.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(allHostsGetReportsWhileNoAggregatorIsLive);
   CPPUNIT_TEST(summariesGoToTheAggregatorsOfOtherDataCentres);
   CPPUNIT_TEST(aggregatorsOfAllDataCentresFindEachOther);
+  CPPUNIT_TEST(aNewHostDoesNotSpeakForItsDataCentre);
   CPPUNIT_TEST(messagesToManyHostsAreLimited);
   CPPUNIT_TEST(largeHostsAreTheAggregators);
   CPPUNIT_TEST(hostsComeFromAnAggregator);
@@ -135,6 +136,25 @@
     }
   }
 
+  // Guards against a new host that takes itself for the first aggregator until
+  // the others know of it, and replaces the sums of its data centre by its own
+  // load.
+  void aNewHostDoesNotSpeakForItsDataCentre() {
+    host_directory Unlisted({.Self = host("a1", "a")});
+    CPPUNIT_ASSERT(!Unlisted.duty(Now).IsInformed);
+    host_directory Hosts = directory("a1");
+    CPPUNIT_ASSERT(Hosts.duty(Now).IsFirst && !Hosts.duty(Now).IsInformed);
+    Hosts.recordReport(host_id("b1"), {}, Now);
+    CPPUNIT_ASSERT(!Hosts.duty(Now).IsInformed);
+    Hosts.recordReport(host_id("a2"), {}, Now);
+    CPPUNIT_ASSERT(Hosts.duty(Now).IsInformed);
+    host_directory Alone = directory("a1");
+    Now += 3900ms;
+    CPPUNIT_ASSERT(!Alone.duty(Now).IsInformed);
+    Now += 100ms;
+    CPPUNIT_ASSERT(Alone.duty(Now).IsInformed);
+  }
+
   void messagesToManyHostsAreLimited() {
     host_directory Hosts({.Self = host("h0", "a"), .MaxTargets = 8});
     std::vector<gateway_host> Many(200);
--- a/modules/bw_gateway/messages/gateway_events.h
+++ b/modules/bw_gateway/messages/gateway_events.h
@@ -204,6 +204,10 @@
   bool IsAggregator = false;
   /// The host also sends summaries to other data centres.
   bool IsFirst = false;
+  /// The host knows enough of its data centre to send sums of its load. False
+  /// for a while after a start, when a host takes itself for the first one
+  /// because it hears no other.
+  bool IsInformed = true;
 
   friend bool operator==(const exchange_duty &,
                          const exchange_duty &) = default;
--- a/modules/bw_gateway/servers/load_exchange.cpp
+++ b/modules/bw_gateway/servers/load_exchange.cpp
@@ -47,7 +47,11 @@
 }
 
 void load_exchange::setDuty(exchange_duty NewDuty) {
+  const bool IsSameRole = NewDuty.IsAggregator == Duty.IsAggregator &&
+                          NewDuty.IsFirst == Duty.IsFirst;
   Duty = NewDuty;
+  if (IsSameRole)
+    return;
   // Outcomes collected in the previous role were forwarded by another host.
   for (auto &[Server, Record] : Records) {
     Record.ForLocal = {};
@@ -121,8 +125,9 @@
 }
 
 bool load_exchange::sendsAggregates(time_point Now) const {
-  return Duty.IsFirst ||
-         (Duty.IsAggregator && Now - AggregateAt >= TakeoverDelay);
+  return Duty.IsInformed &&
+         (Duty.IsFirst ||
+          (Duty.IsAggregator && Now - AggregateAt >= TakeoverDelay));
 }
 
 std::uint32_t
--- a/modules/bw_gateway/servers/load_exchange_test.cpp
+++ b/modules/bw_gateway/servers/load_exchange_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(onlyFailuresLeaveTheDataCentre);
   CPPUNIT_TEST(aNewAggregatorForwardsNoOldOutcomes);
   CPPUNIT_TEST(theSecondAggregatorTakesOver);
+  CPPUNIT_TEST(anUninformedAggregatorSendsNoSums);
   CPPUNIT_TEST(silentHostsNoLongerCount);
   CPPUNIT_TEST(removedServersLeaveNoLoad);
   CPPUNIT_TEST_SUITE_END();
@@ -156,6 +157,20 @@
     CPPUNIT_ASSERT_EQUAL(4U, Aggregator.inFlightElsewhere(B));
   }
 
+  // Guards against sums of a host that knows only its own load, and against the
+  // loss of outcomes when it learns of the others.
+  void anUninformedAggregatorSendsNoSums() {
+    load_exchange Aggregator(host_id("self"), Near);
+    exchange_duty Duty = First;
+    Duty.IsInformed = false;
+    Aggregator.setDuty(Duty);
+    CPPUNIT_ASSERT(!Aggregator.sendsAggregates(Now + 10s));
+    Aggregator.receive(report("h1", A, 0, 3, 0), Now);
+    Aggregator.setDuty(First);
+    CPPUNIT_ASSERT(Aggregator.sendsAggregates(Now));
+    CPPUNIT_ASSERT(Aggregator.takeAggregate({}, false).Servers.at(0).Good == 3);
+  }
+
   // Guards against outcomes counted twice because two aggregators forward them.
   void outcomesAreForwardedByOneAggregator() {
     for (const exchange_duty Duty : {First, Second}) {
--- a/modules/bw_gateway_daemon/peers/peer_report_service.cpp
+++ b/modules/bw_gateway_daemon/peers/peer_report_service.cpp
@@ -146,7 +146,8 @@
   IsAggregator = Duty.IsAggregator;
   logEvent(log_event::ExchangeDutyChanged,
            {{"aggregator", Duty.IsAggregator ? "1" : "0"},
-            {"first", Duty.IsFirst ? "1" : "0"}});
+            {"first", Duty.IsFirst ? "1" : "0"},
+            {"informed", Duty.IsInformed ? "1" : "0"}});
   Decide->push(Duty);
 }
 
