Admit requests while the window of an allowance has room

Customers of a few requests a second were refused inside their allowance: demand measured over a second varies by more than the 6% that a total may exceed the rate by, and shares of 100 hosts lose the fractions.

Aggregators now count what all hosts admitted in the last window and say which customers need no shares. Summaries carry the count (exchange.proto, three new fields; messages without them decode as before).

--- a/modules/bw_customers/allowances/allowance_shares.cpp
+++ b/modules/bw_customers/allowances/allowance_shares.cpp
@@ -112,15 +112,26 @@
                                 request_rate Recent) const {
   if (!Demand || Demand->Factor < ratio(1))
     return false;
-  const double Seconds = std::chrono::duration<double>(Bounds.Window).count();
-  const double Inside =
-      Allowance.Rate.value() + InsideExcessPart * excess(Allowance) / Seconds;
   const double Growth =
       Allowance.Rate.value() / quietTotal(Allowance.Rate).value();
-  return Demand->Total.value() <= Inside &&
+  return (Demand->IsInside || Demand->Total <= insideRate(Allowance)) &&
          Recent.value() <= Growth * Demand->Own.value() + FirstRequestRate;
 }
 
+request_rate
+allowance_shares::insideRate(const customer_allowance &Allowance) const {
+  const double Seconds = std::chrono::duration<double>(Bounds.Window).count();
+  return request_rate(Allowance.Rate.value() +
+                      InsideExcessPart * excess(Allowance) / Seconds);
+}
+
+double
+allowance_shares::insideWindow(const customer_allowance &Allowance) const {
+  return Allowance.Rate.value() *
+             std::chrono::duration<double>(Bounds.Window).count() +
+         Allowance.Burst + InsideExcessPart * excess(Allowance);
+}
+
 ratio allowance_shares::sideFactor(ratio Given) const {
   const double Margin = Bounds.Overshoot.value() / 2;
   const double Heard = std::clamp(Given.value(), 0.0, 1.0);
--- a/modules/bw_customers/allowances/allowance_shares.h
+++ b/modules/bw_customers/allowances/allowance_shares.h
@@ -30,6 +30,8 @@
   ratio Factor{1};
   /// Tokens that each host of the data centre may have.
   double Pooled = 0;
+  /// As in `customer_standing`.
+  bool IsInside = false;
 };
 
 /// Computes the share of this host in the allowances of customers. Holds no
@@ -62,6 +64,12 @@
                 const std::optional<confirmed_demand> &Demand,
                 request_rate Recent) const;
 
+  /// Demand at all hosts up to which it is not divided into shares.
+  request_rate insideRate(const customer_allowance &Allowance) const;
+  /// Requests that all hosts may admit in a window while demand is not divided
+  /// into shares.
+  double insideWindow(const customer_allowance &Allowance) const;
+
   /// Part of each rate that hosts may use which hear from this fraction of the
   /// listed hosts, themselves included. The parts of all sides of a partition
   /// add up to at most 1 plus half the overshoot.
--- a/modules/bw_customers/allowances/demand_exchange.cpp
+++ b/modules/bw_customers/allowances/demand_exchange.cpp
@@ -27,6 +27,15 @@
 // data centres do so together, they exceed the rate for a moment only.
 constexpr double FreePart = 1.0 / 16;
 constexpr double FreeRate = 3;
+// A data centre sends a summary every 300 ms. If one is lost, the counts are
+// too old.
+constexpr duration CountsValidity = std::chrono::milliseconds(450);
+// Larger demand, or demand that grows by more, may be the start of a flood: the
+// counts do not show it yet.
+constexpr double MaxInsideDemand = 1.5;
+constexpr double MaxInsideGrowth = 1.5;
+// Seconds of the known demand that may be admitted before the counts show it.
+constexpr double UnknownSeconds = 2;
 
 // Keeps the entries with the largest numbers if there are too many. Returns
 // false if it dropped some.
@@ -57,6 +66,8 @@
   LocalHosts.clear();
   RemoteDataCentres.clear();
   Sums.clear();
+  AdmittedHere.clear();
+  ForgotDataCentreAt.reset();
   Pools.clear();
   Factor.reset();
 }
@@ -125,7 +136,7 @@
   // What a host admitted before this aggregator heard from it was drawn from
   // the pool of another one.
   if (!IsNew)
-    spend(Sender, Demands);
+    spend(Sender, Demands, Now);
   for (const customer_demand &Each : Demands)
     Sender.Admitted[Each.Customer] = Each.Admitted;
   counted_map Counted;
@@ -141,15 +152,60 @@
 }
 
 void demand_exchange::spend(sender &Sender,
-                            const std::vector<customer_demand> &Demands) {
+                            const std::vector<customer_demand> &Demands,
+                            time_point Now) {
   for (const customer_demand &Each : Demands) {
     const double Before = Sender.Admitted[Each.Customer];
     // The count starts again when the host forgets the customer or restarts.
-    Pools.spend(Each.Customer, Each.Admitted >= Before ? Each.Admitted - Before
-                                                       : Each.Admitted);
+    const double More =
+        Each.Admitted >= Before ? Each.Admitted - Before : Each.Admitted;
+    Pools.spend(Each.Customer, More);
+    AdmittedHere.try_emplace(Each.Customer, Options.Bounds.Window)
+        .first->second.add(More, Now);
   }
 }
 
+double demand_exchange::admittedHere(const customer_id &Customer,
+                                     time_point Now) const {
+  const auto Found = AdmittedHere.find(Customer);
+  return Found == AdmittedHere.end() ? 0 : Found->second.value(Now);
+}
+
+// True if this aggregator has counted for a whole window. It does not know what
+// its hosts admitted before.
+bool demand_exchange::countsAdmitted(time_point Now) const {
+  return Now - AggregatorSince >= Options.Bounds.Window;
+}
+
+// The counts are up to half a second old. Demand that quadruples in this time
+// admits requests for another two seconds of the known demand; hosts whose
+// demand grows more ration it. Silent hosts may use their shares until these
+// expire.
+bool demand_exchange::isInside(const customer_id &Customer, const sum &Sum,
+                               const customer_allowance &Allowance,
+                               time_point Now) const {
+  if (!countsAdmitted(Now) ||
+      (ForgotDataCentreAt && Now - *ForgotDataCentreAt < Options.Bounds.Window))
+    return false;
+  double Admitted = admittedHere(Customer, Now);
+  for (const auto &[DataCentre, Sender] : RemoteDataCentres) {
+    // Each side of a partition would use all that is left.
+    if (!Sender.CountsAdmitted || Now - Sender.HeardAt > CountsValidity)
+      return false;
+    const auto Found = Sender.Admitted.find(Customer);
+    Admitted += Found == Sender.Admitted.end() ? 0 : Found->second;
+  }
+  const double Silent = Sum.Local.Silent + Sum.Remote.Silent;
+  const double Demand = Sum.Local.Rate + Sum.Remote.Rate;
+  const bool IsGrowing = Sum.Local.Rate - Sum.Local.Silent >
+                         MaxInsideGrowth * immediateDemand(Sum, Allowance.Rate);
+  return !IsGrowing &&
+         Demand <= MaxInsideDemand * Shares.insideRate(Allowance).value() &&
+         Admitted + UnknownSeconds * Demand +
+                 std::chrono::duration<double>(Validity).count() * Silent <=
+             Shares.insideWindow(Allowance);
+}
+
 void demand_exchange::receiveSummary(const data_centre_id &DataCentre,
                                      const demand_summary &Summary,
                                      time_point Now) {
@@ -157,10 +213,14 @@
     return;
   sender &Sender = RemoteDataCentres[DataCentre];
   Sender.Heard = Summary.Heard;
+  Sender.CountsAdmitted = Summary.CountsAdmitted;
+  Sender.Admitted.clear();
   counted_map Demands;
-  for (const customer_total &Each : Summary.Customers)
+  for (const customer_total &Each : Summary.Customers) {
     Demands[Each.Customer] = {.Rate = Each.Rate.value(),
                               .Silent = Each.Silent.value()};
+    Sender.Admitted[Each.Customer] = Each.Admitted;
+  }
   replace(Sender, std::move(Demands), &sum::Remote);
   Sender.HeardAt = Now;
   Sender.ReportedAt = Now;
@@ -193,7 +253,12 @@
 // take over at once.
 void demand_exchange::sample(time_point Now) {
   expire(LocalHosts, &sum::Local, SilentAfter, Now);
+  const std::size_t DataCentres = RemoteDataCentres.size();
   expire(RemoteDataCentres, &sum::Remote, SummarySilentAfter, Now);
+  if (RemoteDataCentres.size() < DataCentres)
+    ForgotDataCentreAt = Now;
+  std::erase_if(AdmittedHere,
+                [&](const auto &Each) { return Each.second.value(Now) <= 0; });
   for (auto &[Customer, Sum] : Sums) {
     // Demand that a new aggregator finds may be old.
     if (Sum.LocalMinimum.isEmpty() && Factor)
@@ -324,7 +389,8 @@
          .Total = Total,
          .Pooled = allowance_shares::pooledTokens(
              Pool, request_rate(Part * Allowance.Rate.value()),
-             Result.LocalHosts)});
+             Result.LocalHosts),
+         .IsInside = isInside(Customer, Sum, Allowance, Now)});
   }
   Result.IsComplete =
       keepLargest(Result.Customers,
@@ -336,15 +402,25 @@
 
 demand_summary demand_exchange::takeSummary(time_point Now) {
   sample(Now);
-  demand_summary Result{.Heard = heardLocally(Now), .Customers = {}};
-  for (const auto &[Customer, Sum] : Sums)
-    if (Sum.Local.Rate > 0)
+  demand_summary Result{.Heard = heardLocally(Now),
+                        .CountsAdmitted = countsAdmitted(Now),
+                        .Customers = {}};
+  for (const auto &[Customer, Sum] : Sums) {
+    // Rounding of the sums must not make them negative.
+    const double Rate = std::max(0.0, Sum.Local.Rate);
+    const double Admitted = admittedHere(Customer, Now);
+    if (Rate > 0 || Admitted > 0)
       Result.Customers.push_back(
           {.Customer = Customer,
-           .Rate = request_rate(Sum.Local.Rate),
-           // Rounding of the sums must not make it larger than the rate.
-           .Silent = request_rate(
-               std::clamp(Sum.Local.Silent, 0.0, Sum.Local.Rate))});
+           .Rate = request_rate(Rate),
+           .Silent = request_rate(std::clamp(Sum.Local.Silent, 0.0, Rate)),
+           .Admitted = Admitted});
+  }
+  for (const auto &[Customer, Admitted] : AdmittedHere)
+    if (!Sums.contains(Customer) && Admitted.value(Now) > 0)
+      Result.Customers.push_back({.Customer = Customer,
+                                  .Rate = request_rate(0),
+                                  .Admitted = Admitted.value(Now)});
   keepLargest(Result.Customers,
               [](const customer_total &Each) { return Each.Rate; });
   return Result;
@@ -383,6 +459,7 @@
   if (Standing != Standings.end()) {
     Result.Total = Standing->second.Total;
     Result.Pooled = Standing->second.Pooled;
+    Result.IsInside = Standing->second.IsInside;
     return Result;
   }
   if (!Totals.IsComplete)
--- a/modules/bw_customers/allowances/demand_exchange.h
+++ b/modules/bw_customers/allowances/demand_exchange.h
@@ -6,6 +6,7 @@
 #include "bw_customers/allowances/allowance_shares.h"
 #include "bw_customers/allowances/demand_messages.h"
 #include "bw_customers/allowances/trailing_minimum.h"
+#include "bw_customers/allowances/window_count.h"
 
 #include <cstdint>
 #include <deque>
@@ -132,7 +133,10 @@
     std::uint32_t Heard = 1;
     bool IsSilent = false;
     counted_map Demands;
+    /// Of a host: all that it reported; of a data centre: in the last window.
     admitted_map Admitted;
+    /// Only of a data centre.
+    bool CountsAdmitted = false;
   };
   struct sum {
     counted_demand Local;
@@ -162,7 +166,12 @@
   ratio quietPart(time_point Now) const;
   static ratio activePart(const sum &Sum, request_rate Rate);
   ratio poolPart(const sum &Sum, request_rate Rate) const;
-  void spend(sender &Sender, const std::vector<customer_demand> &Demands);
+  void spend(sender &Sender, const std::vector<customer_demand> &Demands,
+             time_point Now);
+  double admittedHere(const customer_id &Customer, time_point Now) const;
+  bool countsAdmitted(time_point Now) const;
+  bool isInside(const customer_id &Customer, const sum &Sum,
+                const customer_allowance &Allowance, time_point Now) const;
   void fillPools(time_point Now);
 
   demand_exchange_options Options;
@@ -173,6 +182,10 @@
   std::map<host_id, sender> LocalHosts;
   std::map<data_centre_id, sender> RemoteDataCentres;
   std::unordered_map<customer_id, sum> Sums;
+  /// Requests that the hosts of this data centre admitted.
+  std::unordered_map<customer_id, window_count> AdmittedHere;
+  /// When a data centre was last forgotten whose requests still count.
+  std::optional<time_point> ForgotDataCentreAt;
   allowance_pools Pools;
   std::optional<trailing_minimum> Factor;
   /// Own reports that a total may still include, oldest first.
--- a/modules/bw_customers/allowances/demand_exchange_test.cpp
+++ b/modules/bw_customers/allowances/demand_exchange_test.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(aNewAggregatorWaitsForTheHosts);
   CPPUNIT_TEST(sidesAddUpToTheRate);
   CPPUNIT_TEST(admittedRequestsEmptyThePool);
+  CPPUNIT_TEST(theWindowLeavesRoomOrNot);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -208,6 +209,44 @@
     }
     CPPUNIT_ASSERT(Aggregator.confirmed(Customer, Now)->Pooled > 10);
   }
+  // Guards against shares that refuse a customer whose window has room, and
+  // against counts that miss requests: those before this host was an
+  // aggregator, of a data centre that counts only since a moment, or of a late
+  // summary.
+  void theWindowLeavesRoomOrNot() {
+    constexpr double Demand = 120;
+    demand_exchange Aggregator = warmAggregator(2);
+    const auto IsInside = [&](double Admitted, duration Length) {
+      for (const time_point End = Now + Length; Now < End; Now += 80ms) {
+        Number = Number.next();
+        auto Demands = demandOf(Demand);
+        Counted += Admitted * 0.08;
+        Demands[0].Admitted = Counted;
+        Aggregator.takeReport(Number, std::move(Demands), Now);
+        Aggregator.takeTotals(Now);
+      }
+      return Aggregator.confirmed(Customer, Now)->IsInside;
+    };
+    CPPUNIT_ASSERT(!IsInside(70, 3s));
+    CPPUNIT_ASSERT(IsInside(70, 3s));
+    CPPUNIT_ASSERT(!IsInside(100, 5s));
+    CPPUNIT_ASSERT(IsInside(70, 5s));
+    const auto HearsFar = [&](bool CountsAdmitted, double Admitted) {
+      Aggregator.receiveSummary(Far,
+                                {.Heard = 1,
+                                 .CountsAdmitted = CountsAdmitted,
+                                 .Customers = {{.Customer = Customer,
+                                                .Rate = request_rate(1),
+                                                .Admitted = Admitted}}},
+                                Now);
+      return IsInside(70, 80ms);
+    };
+    CPPUNIT_ASSERT(HearsFar(true, 10));
+    CPPUNIT_ASSERT(!HearsFar(false, 10));
+    CPPUNIT_ASSERT(!HearsFar(true, 60));
+    CPPUNIT_ASSERT(HearsFar(true, 10));
+    CPPUNIT_ASSERT(!IsInside(70, 500ms));
+  }
 
 private:
   demand_exchange warmAggregator(std::uint32_t Hosts) {
@@ -245,6 +284,7 @@
 
   time_point Now{100s};
   report_number Number;
+  double Counted = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(demand_exchange_test);
--- a/modules/bw_customers/allowances/demand_messages.h
+++ b/modules/bw_customers/allowances/demand_messages.h
@@ -30,6 +30,8 @@
   /// Part of `Rate` that comes from hosts which are silent or hear no totals.
   /// They keep the shares that they had.
   request_rate Silent = request_rate(0);
+  /// Requests that the hosts have admitted in the last window.
+  double Admitted = 0;
 
   friend bool operator==(const customer_total &,
                          const customer_total &) = default;
@@ -39,6 +41,8 @@
 struct demand_summary {
   /// Hosts of the data centre from which its aggregator has heard, and itself.
   std::uint32_t Heard = 0;
+  /// True if the sender has counted admitted requests for a whole window.
+  bool CountsAdmitted = false;
   std::vector<customer_total> Customers;
 
   friend bool operator==(const demand_summary &,
@@ -52,6 +56,9 @@
   request_rate Total;
   /// Tokens that each host of the data centre may have.
   double Pooled = 0;
+  /// True if the requests of the last window leave room for those of the next
+  /// moments, so that the demand need not be divided into shares.
+  bool IsInside = false;
 
   friend bool operator==(const customer_standing &,
                          const customer_standing &) = default;
--- a/modules/bw_gateway_daemon/peers/exchange_demands.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_demands.cpp
@@ -67,23 +67,28 @@
 void bw::encodeDemandSummary(const demand_summary &Summary,
                              exchange::demand_summary_record &Result) {
   Result.set_heard(Summary.Heard);
+  Result.set_counts_admitted(Summary.CountsAdmitted);
   for (const customer_total &Each : Summary.Customers) {
     auto *Total = Result.add_customers();
     Total->set_customer(Each.Customer.value());
     Total->set_rate(Each.Rate.value());
     Total->set_silent(Each.Silent.value());
+    Total->set_admitted(Each.Admitted);
   }
 }
 
 demand_summary
 bw::decodeDemandSummary(const exchange::demand_summary_record &Record) {
-  demand_summary Result{.Heard = checkedHosts(Record.heard()), .Customers = {}};
+  demand_summary Result{.Heard = checkedHosts(Record.heard()),
+                        .CountsAdmitted = Record.counts_admitted(),
+                        .Customers = {}};
   for (const auto &Each : Record.customers())
     Result.Customers.push_back(
         {.Customer = checkedName(Each.customer()),
          .Rate = request_rate(checked(Each.rate(), MaxRate)),
          // Hosts that are silent cannot ask for more than all.
-         .Silent = request_rate(checked(Each.silent(), Each.rate()))});
+         .Silent = request_rate(checked(Each.silent(), Each.rate())),
+         .Admitted = checked(Each.admitted(), MaxAdmitted)});
   return Result;
 }
 
@@ -98,6 +103,7 @@
     Standing->set_customer(Each.Customer.value());
     Standing->set_total(Each.Total.value());
     Standing->set_pooled(Each.Pooled);
+    Standing->set_is_inside(Each.IsInside);
   }
 }
 
@@ -112,7 +118,8 @@
     Result.Customers.push_back(
         {.Customer = checkedName(Each.customer()),
          .Total = request_rate(checked(Each.total(), MaxRate)),
-         .Pooled = checked(Each.pooled(), MaxRate)});
+         .Pooled = checked(Each.pooled(), MaxRate),
+         .IsInside = Each.is_inside()});
   return Result;
 }
 
--- a/modules/bw_gateway_daemon/peers/exchange_demands_test.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_demands_test.cpp
@@ -27,9 +27,11 @@
   return {.DataCentre = data_centre_id("a"),
           .Servers = {},
           .Demand = demand_summary{.Heard = 5,
+                                   .CountsAdmitted = true,
                                    .Customers = {{.Customer = Customer,
                                                   .Rate = request_rate(7),
-                                                  .Silent = request_rate(3)}}}};
+                                                  .Silent = request_rate(3),
+                                                  .Admitted = 44}}}};
 }
 
 load_aggregate aggregate() {
@@ -40,7 +42,8 @@
                                   .IsComplete = false,
                                   .Customers = {{.Customer = Customer,
                                                  .Total = request_rate(30),
-                                                 .Pooled = 1.5}}}};
+                                                 .Pooled = 1.5,
+                                                 .IsInside = true}}}};
 }
 
 } // namespace
@@ -91,9 +94,12 @@
       const customer_id Name(std::string(36, 'c') + std::to_string(Index));
       Summary.Demand->Customers.push_back({.Customer = Name,
                                            .Rate = request_rate(1.1),
-                                           .Silent = request_rate(0.7)});
-      Aggregate.Demand->Customers.push_back(
-          {.Customer = Name, .Total = request_rate(1.1), .Pooled = 0.7});
+                                           .Silent = request_rate(0.7),
+                                           .Admitted = 5.5});
+      Aggregate.Demand->Customers.push_back({.Customer = Name,
+                                             .Total = request_rate(1.1),
+                                             .Pooled = 0.7,
+                                             .IsInside = true});
     }
     for (int Index = 0; Index < 2000; ++Index) {
       const backend_server_id Server("server-" + std::to_string(Index));
@@ -143,6 +149,12 @@
           Total->set_rate(1);
           Total->set_silent(Value);
         },
+        [](message &To, double Value) {
+          To.set_summary_of("a");
+          auto *Total = To.mutable_demand_summary()->add_customers();
+          Total->set_customer("c");
+          Total->set_admitted(Value);
+        },
         [](message &To, double Value) {
           To.set_is_aggregate(true);
           To.mutable_demand_totals()->set_factor(Value);
