Let bw-load send bursts of pipelined requests

Two full rings in opposite directions once stopped the process at 40,000 concurrent requests, and bw-load could not repeat that: it has at most 4,096 requests open and does not pipeline.

--- a/apps/bw_load/main.cpp
+++ b/apps/bw_load/main.cpp
@@ -1,4 +1,5 @@
-// Sends an open-loop load and prints its latencies, beside a baseline.
+// Sends an open-loop load and prints its latencies, beside a baseline; or sends
+// a burst of requests at once and prints how they ended.
 
 #include "bw_load/bw_load.h"
 
@@ -6,6 +7,7 @@
 
 #include <fstream>
 #include <iostream>
+#include <regex>
 
 namespace {
 
@@ -13,6 +15,10 @@
   std::vector<std::string> Urls;
   std::vector<std::string> Baseline;
   std::string CredentialFile;
+  std::vector<std::string> Headers;
+  std::size_t Burst = 0;
+  std::size_t Pipelined = 16;
+  double Limit = 60;
   double Rate = 1000;
   double Seconds = 5;
 };
@@ -44,6 +50,52 @@
   }
 }
 
+bw::http_headers readHeaders(const load_arguments &Arguments) {
+  bw::http_headers Result;
+  if (!Arguments.CredentialFile.empty()) {
+    std::ifstream File(Arguments.CredentialFile);
+    std::string Credential;
+    std::getline(File, Credential);
+    Result.add("Authorization", "Bearer " + Credential);
+  }
+  for (const std::string &Each : Arguments.Headers) {
+    const std::size_t Colon = Each.find(':');
+    const std::size_t Value = Each.find_first_not_of(' ', Colon + 1);
+    if (Colon != Each.npos && Value != Each.npos)
+      Result.add(Each.substr(0, Colon), Each.substr(Value));
+  }
+  return Result;
+}
+
+// Sends the burst to an URL `http://IP:PORT/PATH`. Returns false if it is none,
+// or if a request got neither a response nor a close.
+bool sendBurst(const load_arguments &Arguments,
+               const bw::http_headers &Headers) {
+  static const std::regex Form("http://([0-9.]+):([0-9]{1,5})(/.*)");
+  std::smatch Parts;
+  const std::string &Url = Arguments.Urls.front();
+  if (!std::regex_match(Url, Parts, Form)) {
+    std::cerr << "a burst needs an URL http://IP:PORT/PATH\n";
+    return false;
+  }
+  bw::burst_options Options;
+  Options.Ip = Parts[1];
+  Options.Port = static_cast<std::uint16_t>(std::stoul(Parts[2]));
+  Options.Request = "GET " + Parts[3].str() + " HTTP/1.1\r\n";
+  if (!Headers.find("Host"))
+    Options.Request += "Host: " + Options.Ip + "\r\n";
+  for (const bw::http_header &Each : Headers.fields())
+    Options.Request += Each.Name + ": " + Each.Value + "\r\n";
+  Options.Request += "\r\n";
+  Options.Requests = Arguments.Burst;
+  Options.RequestsPerConnection = Arguments.Pipelined;
+  Options.Limit = std::chrono::milliseconds(
+      static_cast<std::int64_t>(Arguments.Limit * 1000));
+  const bw::burst_report Report = bw::runBurst(Options);
+  std::cout << Report.text("burst");
+  return Report.Overdue == 0;
+}
+
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
@@ -59,14 +111,24 @@
       ->check(CLI::Range(0.1, 100'000.0));
   Program.add_option("--seconds", Given.Seconds, "length of each run")
       ->check(CLI::Range(0.1, 600.0));
+  Program.add_option("--header", Given.Headers,
+                     "further header fields, as `Name: value`");
+  Program
+      .add_option("--burst", Given.Burst,
+                  "send this many requests at once to the first target instead")
+      ->check(CLI::Range(1, 1'000'000));
+  Program
+      .add_option("--pipelined", Given.Pipelined,
+                  "requests of a burst on each connection")
+      ->check(CLI::Range(1, 1000));
+  Program
+      .add_option("--limit", Given.Limit,
+                  "seconds after which missing responses count as overdue")
+      ->check(CLI::Range(0.1, 600.0));
   CLI11_PARSE(Program, ArgumentCount, Arguments);
-  bw::http_headers Headers;
-  if (!Given.CredentialFile.empty()) {
-    std::ifstream File(Given.CredentialFile);
-    std::string Credential;
-    std::getline(File, Credential);
-    Headers.add("Authorization", "Bearer " + Credential);
-  }
+  const bw::http_headers Headers = readHeaders(Given);
+  if (Given.Burst > 0)
+    return sendBurst(Given, Headers) ? EXIT_SUCCESS : EXIT_FAILURE;
   bw::runtime_clock Clock;
   if (Given.Baseline.empty()) {
     run(Clock, Given.Urls, Headers, Given, "through");
