--- a/tests/slow_clients/gateway_under_test.cpp
+++ b/tests/slow_clients/gateway_under_test.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-const std::string HostName = "slow.example";
+const std::string HostName(gateway_under_test::VirtualHost);
 const data_centre_id Place("dc-1");
 
 constexpr std::uint16_t CallerPort = 18244;
@@ -29,9 +29,6 @@
 constexpr int CrowdServers = 3;
 // No request of a crowd is held back because the servers have no slot.
 constexpr slot_count Slots(2000);
-// Short, so that connections of earlier tests and of the crowd end in the
-// test.
-constexpr duration IdleTimeout = 5s;
 
 gateway_route route(const std::string &Path, const std::string &Service) {
   return {.Id = route_id(Service),
@@ -53,7 +50,7 @@
               .Port = CallerPort},
       Store(Clock) {
   Store.start();
-  writeConfiguration();
+  writeConfiguration(Limits.IdleTimeout);
   addServer("ordinary-1", "ordinary", server_conduct::Answers);
   for (int Index = 1; Index <= CrowdServers; ++Index)
     addServer("crowd-" + std::to_string(Index), "crowd", Conduct);
@@ -99,7 +96,7 @@
                      .Start = server_start(Servers.size())});
 }
 
-void gateway_under_test::writeConfiguration() {
+void gateway_under_test::writeConfiguration(duration IdleTimeout) {
   Store.writeConfiguration(
       {.Version = config_version(1),
        .Limits = {.IdleTimeout = IdleTimeout},
@@ -154,17 +151,17 @@
   return std::size_t(std::distance(begin(Files), end(Files)));
 }
 
+bool gateway_under_test::answersOnce() const {
+  try {
+    return isAnswered(Address, request("/ordinary/", OrdinarySize),
+                      OrdinarySize);
+  } catch (const harness::harness_error &) {
+    return false;
+  }
+}
+
 bool gateway_under_test::answersOrdinaryRequest() const {
-  const std::string Asked = request("/ordinary/", OrdinarySize);
-  return harness::waitUntil(
-      [&] {
-        try {
-          return isAnswered(Address, Asked, OrdinarySize);
-        } catch (const harness::harness_error &) {
-          return false;
-        }
-      },
-      30s);
+  return harness::waitUntil([this] { return answersOnce(); }, 30s);
 }
 
 std::string gateway_under_test::request(const std::string &Path,
--- a/tests/slow_clients/gateway_under_test.h
+++ b/tests/slow_clients/gateway_under_test.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_SLOW_CLIENTS_GATEWAY_UNDER_TEST_H
 #define TESTS_SLOW_CLIENTS_GATEWAY_UNDER_TEST_H
 
+#include "bw_core/ids/time.h"
 #include "bw_core/ids/units.h"
 #include "bw_kernel/clock/runtime_clock.h"
 #include "platform/emulator/store_service.h"
@@ -8,8 +9,10 @@
 #include "tests/slow_clients/crowd.h"
 #include "tests/slow_clients/test_server.h"
 
+#include <chrono>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bw::slow_clients {
@@ -19,12 +22,18 @@
 struct gateway_limits {
   byte_count Memory = mebibytes(80);
   std::size_t Descriptors = 4100;
+  /// Short, so that connections of earlier tests and of the crowd end in the
+  /// test.
+  duration IdleTimeout = std::chrono::seconds(5);
 };
 
 /// A gateway process with an emulated store. The path `/crowd/` leads to
 /// servers of the given conduct, `/ordinary/` to a server that answers.
 class gateway_under_test {
 public:
+  /// The host that requests name.
+  static constexpr std::string_view VirtualHost = "slow.example";
+
   /// Waits until the gateway is ready. \throws harness_error
   gateway_under_test(gateway_limits Limits, server_conduct Conduct);
   ~gateway_under_test();
@@ -38,6 +47,8 @@
   byte_count peakMemory() const;
   /// Descriptors that are open now.
   std::size_t openDescriptors() const;
+  /// Asks `/ordinary/` once.
+  bool answersOnce() const;
   /// Asks `/ordinary/` until it is answered, for up to half a minute.
   bool answersOrdinaryRequest() const;
 
@@ -49,7 +60,7 @@
 private:
   void addServer(const std::string &Name, const std::string &Service,
                  server_conduct Conduct);
-  void writeConfiguration();
+  void writeConfiguration(duration IdleTimeout);
   std::string writeSettings(gateway_limits Limits) const;
 
   runtime_clock Clock;
--- a/tests/slow_clients/test_server.cpp
+++ b/tests/slow_clients/test_server.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds BytePause(100);
+constexpr std::chrono::milliseconds LatePause(500);
 // Keeps the part of a body small that the system holds for a server that does
 // not read.
 constexpr int SmallReceiveBuffer = 8192;
@@ -89,13 +90,22 @@
       const parse_result Result = Parser.feed(Bytes);
       Bytes.remove_prefix(Result.Taken);
       if (Result.Status == parse_status::Complete)
-        return answer();
+        return Options.Conduct == server_conduct::AnswersLate ? answerLate()
+                                                              : answer();
       if (Result.Status != parse_status::NeedsMore)
         return;
     }
     read();
   }
 
+  void answerLate() {
+    Pause.expires_after(LatePause);
+    Pause.async_wait([Self = shared_from_this()](asio::error_code Cancelled) {
+      if (!Cancelled)
+        Self->answer();
+    });
+  }
+
   void answer() {
     if (Options.Conduct == server_conduct::AnswersByteByByte) {
       Answer.append(bodyBytes(), 0, Size);
--- a/tests/slow_clients/test_server.h
+++ b/tests/slow_clients/test_server.h
@@ -16,6 +16,7 @@
 /// How a backend server treats requests.
 enum class server_conduct : std::uint8_t {
   Answers,           ///< Answers at once.
+  AnswersLate,       ///< Answers after half a second.
   AnswersByteByByte, ///< Sends one byte of its answers at a time.
   ReadsNothing,      ///< Accepts connections and never reads.
 };
