--- a/tests/harness/child_process.cpp
+++ b/tests/harness/child_process.cpp
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 
 using namespace bw::harness;
@@ -122,6 +123,25 @@
   return bw::byte_count(Resident * std::uint64_t(::sysconf(_SC_PAGESIZE)));
 }
 
+bw::byte_count child_process::peakMemory() const {
+  std::ifstream File("/proc/" + std::to_string(Id) + "/status");
+  const std::string Key = "VmHWM:";
+  for (std::string Word; File >> Word;)
+    if (Word == Key) {
+      std::uint64_t Kibibytes = 0;
+      File >> Kibibytes;
+      return bw::kibibytes(Kibibytes);
+    }
+  return {};
+}
+
+std::size_t child_process::openDescriptors() const {
+  std::error_code Ignored;
+  const std::filesystem::directory_iterator Files(
+      "/proc/" + std::to_string(Id) + "/fd", Ignored);
+  return std::size_t(std::distance(begin(Files), end(Files)));
+}
+
 std::string child_process::output() const {
   std::ifstream File(OutputPath);
   std::ostringstream Text;
--- a/tests/harness/child_process.h
+++ b/tests/harness/child_process.h
@@ -39,6 +39,10 @@
 
   /// Resident memory; 0 once it has ended.
   byte_count residentMemory() const;
+  /// Peak of the resident memory since the start; 0 once it has ended.
+  byte_count peakMemory() const;
+  /// Descriptors that are open now; 0 once it has ended.
+  std::size_t openDescriptors() const;
 
   /// Standard output and standard error so far.
   std::string output() const;
--- a/tests/slow_clients/gateway_under_test.cpp
+++ b/tests/slow_clients/gateway_under_test.cpp
@@ -118,39 +118,18 @@
       .FirstInternalPort = FirstPort,
       .LastInternalPort = LastPort,
       .Store = {.Ip = "127.0.0.1", .Port = Store.port()},
+      .Memory = Limits.Memory,
+      .FileDescriptors = Limits.Descriptors,
       .HeartbeatInterval = 1500ms,
       .DrainBound = 2s,
       .GracePeriod = 6s,
       .RetryRatio = ratio(0.2),
       .RetrySlack = 56,
       .FloorShare = ratio(0.7)};
-  constexpr std::uint64_t Mebibyte = mebibytes(1).value();
-  std::ofstream(Path) << platform::settingsText(Settings)
-                      << "limits.memory_mb=" << Limits.Memory.value() / Mebibyte
-                      << "\nlimits.file_descriptors=" << Limits.Descriptors
-                      << "\n";
+  std::ofstream(Path) << platform::settingsText(Settings);
   return Path;
 }
 
-byte_count gateway_under_test::peakMemory() const {
-  std::ifstream File("/proc/" + std::to_string(Process->id()) + "/status");
-  const std::string Key = "VmHWM:";
-  for (std::string Word; File >> Word;)
-    if (Word == Key) {
-      std::uint64_t Kibibytes = 0;
-      File >> Kibibytes;
-      return kibibytes(Kibibytes);
-    }
-  return {};
-}
-
-std::size_t gateway_under_test::openDescriptors() const {
-  std::error_code Ignored;
-  const std::filesystem::directory_iterator Files(
-      "/proc/" + std::to_string(Process->id()) + "/fd", Ignored);
-  return std::size_t(std::distance(begin(Files), end(Files)));
-}
-
 bool gateway_under_test::answersOnce() const {
   try {
     return isAnswered(Address, request("/ordinary/", OrdinarySize),
--- a/tests/slow_clients/gateway_under_test.h
+++ b/tests/slow_clients/gateway_under_test.h
@@ -44,9 +44,9 @@
   /// The process that was started still runs.
   bool isAlive() { return Process->isRunning(); }
   /// Peak of the resident memory since the start; 0 once it has ended.
-  byte_count peakMemory() const;
+  byte_count peakMemory() const { return Process->peakMemory(); }
   /// Descriptors that are open now.
-  std::size_t openDescriptors() const;
+  std::size_t openDescriptors() const { return Process->openDescriptors(); }
   /// Asks `/ordinary/` once.
   bool answersOnce() const;
   /// Asks `/ordinary/` until it is answered, for up to half a minute.
