Bound what callers hold of the control daemon

bramleywinchd took connections and request bodies without a common bound: with settings of 80 MB and 500 descriptors that nothing applied, 700 idle connections gave 726 descriptors and 250 half-sent bodies of 2 MB gave 283 MB. http_server now applies a process_budget through connection_limiter and a socket that counts what is received; the daemon has the settings memory_mb and file_descriptors.

--- a/apps/bramleywinchd/main.cpp
+++ b/apps/bramleywinchd/main.cpp
@@ -65,7 +65,8 @@
   auto &Accept = Kernel.add<bw::accept_service>(
       Clock, bw::accept_service_options{.Address = Settings.Listen.Address,
                                         .Port = Settings.Listen.Port,
-                                        .MaxBody = Settings.MaxBody});
+                                        .MaxBody = Settings.MaxBody,
+                                        .Limits = Settings.Limits});
   Kernel.add<bw::front_desk>(Settings.Operators);
   Kernel.start();
   std::cout << "listening " << Accept.port() << " peers " << Peers.port()
--- a/modules/bw_daemon/accept/accept_service.cpp
+++ b/modules/bw_daemon/accept/accept_service.cpp
@@ -10,6 +10,7 @@
       Server({.Address = Options.Address,
               .Port = Options.Port,
               .MaxBody = Options.MaxBody,
+              .Budget = divideLimits(Options.Limits),
               .OnRequest =
                   [this](http_exchange_pointer Exchange) {
                     OnRequest(std::move(Exchange));
--- a/modules/bw_daemon/accept/accept_service.h
+++ b/modules/bw_daemon/accept/accept_service.h
@@ -16,6 +16,8 @@
   std::string Address = "127.0.0.1";
   std::uint16_t Port = 0;
   byte_count MaxBody = mebibytes(8);
+  /// What the process may use.
+  process_limits Limits;
   /// Called for each request on the accept thread; must not block.
   std::function<void(http_exchange_pointer)> OnRequest =
       [](const http_exchange_pointer &Exchange) {
--- a/modules/bw_daemon/bw_daemon.h
+++ b/modules/bw_daemon/bw_daemon.h
@@ -4,7 +4,7 @@
 ///
 /// Depends on: bw_core, bw_kernel, bw_detection, bw_limits, bw_routing,
 /// bw_delivery, bw_membership, bw_configuration, bw_engine, bw_schema, bw_http,
-/// bw_peer, bw_platform, bw_operations.
+/// bw_peer, bw_platform, bw_operations, bw_resources.
 #ifndef BW_DAEMON_BW_DAEMON_H
 #define BW_DAEMON_BW_DAEMON_H
 
--- a/modules/bw_daemon/settings/daemon_settings.cpp
+++ b/modules/bw_daemon/settings/daemon_settings.cpp
@@ -9,6 +9,10 @@
 constexpr std::int64_t LeastBody = 1'024;
 constexpr std::int64_t MostBody = 64LL * 1024 * 1024;
 constexpr std::int64_t DefaultBody = 8LL * 1024 * 1024;
+constexpr std::int64_t LeastMegabytes = 32;
+constexpr std::int64_t MostMegabytes = 1LL << 20;
+constexpr std::int64_t LeastDescriptors = 300;
+constexpr std::int64_t MostDescriptors = 1LL << 20;
 constexpr std::size_t ShortestPeerKey = 16;
 
 listen_settings readListen(settings_reader Reader) {
@@ -31,6 +35,20 @@
   return Result;
 }
 
+process_limits readLimits(settings_reader &Reader) {
+  constexpr std::int64_t NoLimit = 0;
+  process_limits Result;
+  const std::int64_t Memory =
+      Reader.integer("memory_mb", {LeastMegabytes, MostMegabytes}, NoLimit);
+  if (Memory != NoLimit)
+    Result.Memory = mebibytes(static_cast<std::uint64_t>(Memory));
+  const std::int64_t Descriptors = Reader.integer(
+      "file_descriptors", {LeastDescriptors, MostDescriptors}, NoLimit);
+  if (Descriptors != NoLimit)
+    Result.Descriptors = static_cast<std::uint64_t>(Descriptors);
+  return Result;
+}
+
 stored_credential readOperator(settings_reader &Reader) {
   constexpr std::size_t SaltDigits = 32;
   constexpr std::size_t HashDigits = 64;
@@ -70,6 +88,7 @@
       Reader.milliseconds("host_list_interval_ms", {100ms, 60s}, 1s);
   Result.MaxBody = byte_count(static_cast<std::uint64_t>(
       Reader.integer("max_body_bytes", {LeastBody, MostBody}, DefaultBody)));
+  Result.Limits = readLimits(Reader);
   for (settings_reader &Seed : Reader.sections("hosts"))
     Result.Seeds.push_back(readSeed(Seed));
   for (settings_reader &Operator : Reader.sections("operators"))
--- a/modules/bw_daemon/settings/daemon_settings.h
+++ b/modules/bw_daemon/settings/daemon_settings.h
@@ -5,6 +5,7 @@
 #include "bw_core/ids/units.h"
 #include "bw_kernel/settings/settings_reader.h"
 #include "bw_operations/credentials/credential_check.h"
+#include "bw_resources/budget/budget_options.h"
 
 #include <chrono>
 #include <cstdint>
@@ -38,6 +39,8 @@
   std::chrono::milliseconds PlatformTimeout{};
   std::chrono::milliseconds HostListInterval{};
   byte_count MaxBody;
+  /// What the process may use; without a value there is no limit.
+  process_limits Limits;
   std::vector<seed_settings> Seeds;
   std::vector<stored_credential> Operators;
 };
--- a/modules/bw_daemon/settings/daemon_settings_test.cpp
+++ b/modules/bw_daemon/settings/daemon_settings_test.cpp
@@ -27,6 +27,11 @@
     CPPUNIT_ASSERT_EQUAL(std::string("entry-01"), Settings.Host.value());
     CPPUNIT_ASSERT_EQUAL(std::uint16_t(8081), Settings.Peer.Port);
     CPPUNIT_ASSERT(Settings.MaxBody == mebibytes(8));
+    CPPUNIT_ASSERT(!Settings.Limits.Memory && !Settings.Limits.Descriptors);
+    const daemon_settings Limited =
+        read(Valid + "memory_mb: 64\nfile_descriptors: 500\n");
+    CPPUNIT_ASSERT(Limited.Limits.Memory == mebibytes(64));
+    CPPUNIT_ASSERT(Limited.Limits.Descriptors == std::uint64_t(500));
   }
 
   // Guards against a daemon that starts with settings nobody meant.
@@ -39,6 +44,8 @@
     const fault_case Cases[] = {
         {Valid + "odd: 1\n", 7, "odd"},
         {Valid + "max_body_bytes: 1\n", 7, "max_body_bytes"},
+        {Valid + "memory_mb: 0\n", 7, "memory_mb"},
+        {Valid + "file_descriptors: 10\n", 7, "file_descriptors"},
         {Valid + "platform_timeout_ms: -5\n", 7, "platform_timeout_ms"},
         {Valid + "host: twice\n", 7, "host"},
         {Valid + "hosts:\n  - { host: a }\n", 8, "hosts[0].data_centre"},
--- a/modules/bw_forward/service/forward_counters.h
+++ b/modules/bw_forward/service/forward_counters.h
@@ -1,7 +1,7 @@
 #ifndef BW_FORWARD_SERVICE_FORWARD_COUNTERS_H
 #define BW_FORWARD_SERVICE_FORWARD_COUNTERS_H
 
-#include "bw_forward/service/closed_callers.h"
+#include "bw_http/server/closed_callers.h"
 #include "bw_resources/budget/process_budget.h"
 
 #include <atomic>
--- a/modules/bw_http/bw_http.h
+++ b/modules/bw_http/bw_http.h
@@ -2,7 +2,7 @@
 /// HTTP towards callers, operators, backend servers and the platform: a server
 /// over RESTinio and a client over libcurl. Neither library shows in a header.
 ///
-/// Depends on: bw_core, bw_kernel.
+/// Depends on: bw_core, bw_kernel, bw_resources.
 #ifndef BW_HTTP_BW_HTTP_H
 #define BW_HTTP_BW_HTTP_H
 
--- a/modules/bw_forward/service/closed_callers.cpp
+++ b/modules/bw_http/server/closed_callers.cpp
@@ -1,4 +1,4 @@
-#include "bw_forward/service/closed_callers.h"
+#include "bw_http/server/closed_callers.h"
 
 #include "bw_kernel/log/log_event.h"
 
--- a/modules/bw_forward/service/closed_callers.h
+++ b/modules/bw_http/server/closed_callers.h
@@ -1,5 +1,5 @@
-#ifndef BW_FORWARD_SERVICE_CLOSED_CALLERS_H
-#define BW_FORWARD_SERVICE_CLOSED_CALLERS_H
+#ifndef BW_HTTP_SERVER_CLOSED_CALLERS_H
+#define BW_HTTP_SERVER_CLOSED_CALLERS_H
 
 #include "bw_core/ids/time.h"
 #include "bw_resources/budget/close_reason.h"
--- a/modules/bw_http/server/http_server.cpp
+++ b/modules/bw_http/server/http_server.cpp
@@ -1,5 +1,9 @@
 #include "bw_http/server/http_server.h"
 
+#include "bw_http/server/closed_callers.h"
+#include "bw_http/server/limited_socket.h"
+#include "bw_kernel/clock/runtime_clock.h"
+
 #include <restinio/all.hpp>
 
 #include <atomic>
@@ -18,8 +22,22 @@
 // Requests in progress by their connection, so that a closed connection ends
 // the request's work. Shared between the server and its exchanges.
 struct open_exchanges {
+  explicit open_exchanges(process_budget_options Budget)
+      : Context({.Budget = Budget,
+                 .Now = [this] { return Clock.now(); },
+                 .Post =
+                     [this](std::function<void()> Hook) {
+                       restinio::asio_ns::post(Context, std::move(Hook));
+                     },
+                 .OnLimit =
+                     [this](close_reason Reason) {
+                       Closed.closed(Reason, Clock.now());
+                     }}) {}
+
+  runtime_clock Clock;
+  closed_callers Closed;
   // Kept as long as any exchange: its socket must not outlive it.
-  restinio::asio_ns::io_context Context;
+  server_context Context;
   std::mutex Mutex;
   std::multimap<connection_id, std::weak_ptr<restinio_exchange>> ByConnection;
   std::atomic<std::size_t> Count = 0;
@@ -39,6 +57,7 @@
 };
 
 struct server_traits : public restinio::default_single_thread_traits_t {
+  using stream_socket_t = limited_socket;                  // NOLINT
   using connection_state_listener_t = connection_listener; // NOLINT
 };
 
@@ -48,10 +67,15 @@
 public:
   restinio_exchange(restinio::request_handle_t Handle,
                     std::shared_ptr<open_exchanges> Open)
-      : Open(std::move(Open)), Handle(std::move(Handle)) {
+      : Open(std::move(Open)), Handle(std::move(Handle)),
+        Id(this->Handle->connection_id()),
+        HeldByRequest(limiter().requestBegan(Id)) {
     readRequest();
   }
-  ~restinio_exchange() override { endResponse(); }
+  ~restinio_exchange() override {
+    endResponse();
+    limiter().requestEnded(Id, HeldByRequest);
+  }
 
   const http_request &request() const override { return Request; }
   std::string remoteAddress() const override {
@@ -73,8 +97,12 @@
     copyHeaders(Response.Headers, Builder);
     if (Open->Draining)
       Builder.connection_close();
+    const std::size_t Size = Response.Body.size();
+    limiter().responseQueued(Id, Size);
     Builder.set_body(std::move(Response.Body));
-    Builder.done();
+    Builder.done([Open = std::weak_ptr(Open), Id = Id, Size](const auto &) {
+      releaseResponse(Open, Id, Size);
+    });
     endLocked();
   }
 
@@ -103,12 +131,15 @@
       return byte_count(Unwritten);
     const std::size_t Size = Part.size();
     Unwritten += Size;
+    limiter().responseQueued(Id, Size);
     if (IsChunked)
       Stream->append_body(fmt::format("{:x}\r\n", Size));
     Stream->append_body(std::move(Part));
     if (IsChunked)
       Stream->append_body(std::string("\r\n"));
-    Stream->flush([Self = weak_from_this(), Size](const auto &Error) {
+    Stream->flush([Self = weak_from_this(), Open = std::weak_ptr(Open), Id = Id,
+                   Size](const auto &Error) {
+      releaseResponse(Open, Id, Size);
       if (const auto Exchange = Self.lock())
         Exchange->written(Size, !Error);
     });
@@ -157,6 +188,16 @@
   }
 
 private:
+  connection_limiter &limiter() const { return Open->Context.Limiter; }
+
+  // The event loop keeps hooks of writes that never end, and must not be kept
+  // by them.
+  static void releaseResponse(const std::weak_ptr<open_exchanges> &Open,
+                              http_connection_id Id, std::size_t Size) {
+    if (const auto Own = Open.lock())
+      Own->Context.Limiter.responseWritten(Id, Size);
+  }
+
   void readRequest() {
     const auto &Header = Handle->header();
     Request.Method = std::string(Header.method().c_str());
@@ -215,6 +256,8 @@
 
   std::shared_ptr<open_exchanges> Open;
   restinio::request_handle_t Handle;
+  http_connection_id Id;
+  byte_count HeldByRequest;
   http_request Request;
   // Recursive: a write to a connection that the client has closed ends it at
   // once, on the same thread, and reports that back here.
@@ -232,9 +275,14 @@
 
 void connection_listener::state_changed(
     const restinio::connection_state::notice_t &Notice) noexcept {
+  const http_connection_id Id(Notice.connection_id());
+  if (restinio::holds_alternative<restinio::connection_state::accepted_t>(
+          Notice.cause()))
+    Open->Context.Limiter.accepted(Id);
   if (!restinio::holds_alternative<restinio::connection_state::closed_t>(
           Notice.cause()))
     return;
+  Open->Context.Limiter.closed(Id);
   std::vector<std::shared_ptr<restinio_exchange>> Closed;
   {
     const std::lock_guard Guard(Open->Mutex);
@@ -255,12 +303,16 @@
   using server = restinio::http_server_t<server_traits>;
 
   explicit implementation(http_server_options GivenOptions)
-      : Options(std::move(GivenOptions)) {}
+      : Options(std::move(GivenOptions)),
+        Open(std::make_shared<open_exchanges>(Options.Budget)) {}
 
   void handle(const restinio::request_handle_t &Handle) {
     removeEnded(Handle->connection_id());
+    const bool HasRoom = Open->Context.Limiter.makeRoomForRequest();
     auto Exchange = std::make_shared<restinio_exchange>(Handle, Open);
     Exchange->enroll();
+    if (!HasRoom)
+      return Exchange->respond(Options.Refusal);
     Options.OnRequest(Exchange);
   }
 
@@ -274,7 +326,7 @@
   }
 
   http_server_options Options;
-  std::shared_ptr<open_exchanges> Open = std::make_shared<open_exchanges>();
+  std::shared_ptr<open_exchanges> Open;
   std::unique_ptr<server> Server;
   std::atomic<std::uint16_t> Port = 0;
   std::thread Thread;
--- a/modules/bw_http/server/http_server.h
+++ b/modules/bw_http/server/http_server.h
@@ -3,6 +3,7 @@
 
 #include "bw_core/errors/error.h"
 #include "bw_http/server/http_exchange.h"
+#include "bw_resources/budget/budget_options.h"
 
 #include <chrono>
 #include <cstdint>
@@ -32,6 +33,15 @@
   std::chrono::milliseconds ReadTimeout{60'000};
   /// Longest time between two parts of a response.
   std::chrono::milliseconds ResponseTimeout{3'600'000};
+  /// What the connections may use together. At the limit of connections, the
+  /// one that is idle for longest is closed, else one whose head is incomplete
+  /// after 3 s or whose body has not gone on for 15 s, else the new one. At the
+  /// limit of bytes, the one that holds most for longest is reset.
+  process_budget_options Budget;
+  /// The response to requests that are refused near the limit of bytes; they
+  /// have not run.
+  http_response Refusal = {
+      .Status = 503, .Headers = {{"Retry-After", "1"}}, .Body = {}};
   /// Called on the server's thread for each request; must not block.
   std::function<void(http_exchange_pointer)> OnRequest =
       [](const http_exchange_pointer &Exchange) {
--- a/tests/harness/fleet_process.cpp
+++ b/tests/harness/fleet_process.cpp
@@ -7,6 +7,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <utility>
 
 using namespace bw::harness;
 
@@ -64,7 +65,8 @@
       .dump();
 }
 
-fleet_process::fleet_process() {
+fleet_process::fleet_process(std::string GivenSettings)
+    : MoreSettings(std::move(GivenSettings)) {
   for (const auto &[Name, DataCentre] : Places) {
     fleet_host Host{.Name = Name,
                     .DataCentre = DataCentre,
@@ -155,7 +157,7 @@
       << loopbackUrl(Platform.port(), "") << "\nplatform_timeout_ms: 500\n"
       << "operators:\n  - {name: operator, salt: \"" << Salt
       << "\", secret_sha256: \"" << SecretSha256 << "\"}\n"
-      << seeds(Host);
+      << seeds(Host) << MoreSettings;
 }
 
 void fleet_process::startDaemon(fleet_host &Host) {
--- a/tests/harness/fleet_process.h
+++ b/tests/harness/fleet_process.h
@@ -34,8 +34,9 @@
 class fleet_process {
 public:
   /// Starts everything, applies a configuration and waits until all hosts are
-  /// ready. \throws harness_error
-  fleet_process();
+  /// ready. The lines are added to the settings of each daemon.
+  /// \throws harness_error
+  explicit fleet_process(std::string MoreSettings = "");
   ~fleet_process();
   fleet_process(const fleet_process &) = delete;
   fleet_process &operator=(const fleet_process &) = delete;
@@ -76,6 +77,7 @@
   void writeSettings(fleet_host &Host) const;
   std::string seeds(const fleet_host &Own) const;
 
+  std::string MoreSettings;
   platform_process Platform;
   std::vector<fleet_backend> Backends;
   std::vector<fleet_host> Hosts;
