Show how old the load behind admission is and how many requests wait

Nobody could see the age of the other hosts' load that decisions under load use, which the design demands of them, nor how many requests wait at a host. Two gauges show both.

--- a/modules/bw_gateway/admission/request_admission.cpp
+++ b/modules/bw_gateway/admission/request_admission.cpp
@@ -59,7 +59,8 @@
 }
 
 void request_admission::add(const admission_request &Request, time_point Now) {
-  Waiting.emplace(Request.Number, Request);
+  // Callers choose the label, which may be long; it is not needed any more.
+  Waiting.emplace(Request.Number, Request).first->second.Label = {};
   Services[Request.Service].Queue.add(
       {.Number = waitingNumber(Request.Number),
        .Urgency = Request.Urgency,
--- a/modules/bw_gateway/admission/request_admission.h
+++ b/modules/bw_gateway/admission/request_admission.h
@@ -77,6 +77,7 @@
   /// Removes and returns all waiting requests.
   std::vector<request_number> takeAll();
   bool empty() const { return Waiting.empty(); }
+  std::size_t size() const { return Waiting.size(); }
   /// Returns when `serve` should be called even if no event arrives.
   time_point nextDue() const;
 
--- a/modules/bw_gateway/admission/request_admission_test.cpp
+++ b/modules/bw_gateway/admission/request_admission_test.cpp
@@ -66,12 +66,14 @@
     const auto First = only<start_attempt>(arrive("/patient/"));
     CPPUNIT_ASSERT(arrive("/patient/").empty());
     const request_number Waiting = LastRequest;
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Engine->waitingRequests());
     Now += 100ms;
     const auto Out = end(First, attempt_outcome::Answered);
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), Out.size());
     const auto &Started = std::get<start_attempt>(Out.back());
     CPPUNIT_ASSERT(Started.Request == Waiting);
     CPPUNIT_ASSERT(Started.TimeLeft == 2900ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Engine->waitingRequests());
   }
 
   // Guards against an urgent request that waits while servers still queue.
--- a/modules/bw_gateway/engine/gateway_engine.h
+++ b/modules/bw_gateway/engine/gateway_engine.h
@@ -69,6 +69,10 @@
   const load_exchange &exchange() const { return Pool.exchange(); }
 
   std::size_t openRequests() const { return Requests.size(); }
+  /// Number of open requests that wait for room and were not sent yet.
+  std::size_t waitingRequests() const { return Waiting.size(); }
+  /// Age of the load of other hosts that decisions use.
+  const load_age &loadAge() const { return Pool.loadAge(); }
   config_version version() const;
   /// Returns the revision of the current server list.
   store_revision listRevision() const { return Pool.revision(); }
--- a/modules/bw_gateway/servers/load_age.cpp
+++ b/modules/bw_gateway/servers/load_age.cpp
@@ -36,5 +36,10 @@
 // Hosts report at most one interval before the message, on average half of one;
 // an aggregator, which receives no such message, adds the reports at once.
 duration load_age::at(time_point Now) const {
-  return At == time_point() ? Interval : Now - At + Interval / 2;
+  const std::optional<time_point> Reported = reportedAt();
+  return Reported ? Now - *Reported : Interval;
+}
+
+std::optional<time_point> load_age::reportedAt() const {
+  return At == time_point() ? std::nullopt : std::optional(At - Interval / 2);
 }
--- a/modules/bw_gateway/servers/load_age.h
+++ b/modules/bw_gateway/servers/load_age.h
@@ -3,6 +3,8 @@
 
 #include "bw_core/ids/time.h"
 
+#include <optional>
+
 namespace bw {
 
 /// How old the load that other hosts reported is, learned from the times
@@ -18,6 +20,9 @@
   /// Returns the mean age of the known load: the time since the message, and
   /// that since the reports which it sums up.
   duration at(time_point Now) const;
+  /// Returns the mean time of the reports that the last message sums up; no
+  /// value before the first message.
+  std::optional<time_point> reportedAt() const;
   /// Returns the time between two messages; zero before there were two.
   duration interval() const { return Interval; }
 
--- a/modules/bw_gateway_daemon/decide/gateway_decide_service.cpp
+++ b/modules/bw_gateway_daemon/decide/gateway_decide_service.cpp
@@ -45,6 +45,11 @@
   Thread.join();
 }
 
+std::optional<duration> gateway_decide_service::loadAge() const {
+  const time_point At = LoadReportedAt.load();
+  return At == time_point() ? std::nullopt : std::optional(Clock.now() - At);
+}
+
 bool gateway_decide_service::hasLoad() const {
   return Engine.openRequests() > 0 || Engine.exchange().hasLocalLoad() ||
          Engine.allowances().hasDemand(Clock.now());
@@ -113,6 +118,8 @@
       report(Now);
     Ready = Engine.isReady();
     OpenRequests = Engine.openRequests();
+    WaitingRequests = Engine.waitingRequests();
+    LoadReportedAt = Engine.loadAge().reportedAt().value_or(time_point());
     Version = Engine.version().value();
     for (gateway_command &Command : Out)
       Commands->push(std::move(Command));
--- a/modules/bw_gateway_daemon/decide/gateway_decide_service.h
+++ b/modules/bw_gateway_daemon/decide/gateway_decide_service.h
@@ -7,6 +7,7 @@
 #include "bw_gateway_daemon/peers/peer_report_service.h"
 
 #include <atomic>
+#include <optional>
 #include <thread>
 
 namespace bw {
@@ -43,6 +44,11 @@
   bool isReady() const { return Ready.load(); }
   /// Number of requests without a response. Thread-safe.
   std::size_t openRequests() const { return OpenRequests.load(); }
+  /// Number of requests that wait until a server has room. Thread-safe.
+  std::size_t waitingRequests() const { return WaitingRequests.load(); }
+  /// Mean age of the load of other hosts as known here; no value if none was
+  /// ever reported. Thread-safe.
+  std::optional<duration> loadAge() const;
   /// Version of the configuration in force. Thread-safe.
   config_version version() const { return config_version(Version.load()); }
 
@@ -72,6 +78,9 @@
   bool HasReportedLoad = false;
   std::atomic<bool> Ready = false;
   std::atomic<std::size_t> OpenRequests = 0;
+  std::atomic<std::size_t> WaitingRequests = 0;
+  /// Default value if no load was reported.
+  std::atomic<time_point> LoadReportedAt = time_point();
   std::atomic<std::uint64_t> Version = 0;
   std::thread Thread;
 };
--- a/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
+++ b/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
@@ -222,6 +222,15 @@
   });
   Add("bramleywinch_open_requests", "Requests without an answer.",
       [&D = S.Decide] { return double(D.openRequests()); });
+  Add("bramleywinch_waiting_requests",
+      "Open requests that wait until a server has room.",
+      [&D = S.Decide] { return double(D.waitingRequests()); });
+  Add("bramleywinch_load_age_seconds",
+      "Mean age of the load of other hosts as known here; -1 if none is.",
+      [&D = S.Decide] {
+        const auto Age = D.loadAge();
+        return Age ? seconds(*Age) : -1.0;
+      });
   Add("bramleywinch_ready", "1 when this host takes new callers.",
       [&D = S.Decide, &State = S.State] {
         return D.isReady() && State.mayServeKeys() ? 1.0 : 0.0;
