--- a/modules/bw_gateway/engine/gateway_engine.h
+++ b/modules/bw_gateway/engine/gateway_engine.h
@@ -69,6 +69,10 @@
   const load_exchange &exchange() const { return Pool.exchange(); }
 
   std::size_t openRequests() const { return Requests.size(); }
+  /// Number of open requests that wait for room and were not sent yet.
+  std::size_t waitingRequests() const { return Waiting.size(); }
+  /// Age of the load of other hosts that decisions use.
+  const load_age &loadAge() const { return Pool.loadAge(); }
   config_version version() const;
   /// Returns the revision of the current server list.
   store_revision listRevision() const { return Pool.revision(); }
@@ -209,6 +213,10 @@
                       time_point Now);
   double budgetCapacity() const;
   bool takeHedgeToken(const request_state &Request);
+  /// True if the retry budget of the service is left to more urgent requests.
+  bool leavesTokens(const request_state &Request) const;
+  /// Returns the tokens that a request adds to the retry budget.
+  double tokensPerRequest() const;
   retry_budget &budgetOf(const service_id &Service);
   void report(const request_state &Request, request_decision Decision,
               time_point Now) const;
