Split the fault soak by topic

Hosts, backend servers, operators with the store, and callers are now classes of their own; they share soak_course, which holds the clock, the random source, the checker and the planned actions.

--- /dev/null
+++ b/tests/soak/soak_operators.cpp
@@ -0,0 +1,105 @@
+#include "tests/soak/soak_operators.h"
+
+using namespace bw;
+using namespace bw::soak;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string HostName = "soak.example";
+const customer_id County("county");
+const customer_id State("state");
+const std::string StateKey = "soak-key-state";
+// The county's key is replaced with every third version.
+constexpr std::uint64_t VersionsPerKey = 3;
+
+std::string countyKey(std::uint64_t Version) {
+  return "soak-key-county-" + std::to_string(Version / VersionsPerKey);
+}
+
+gateway_route route(const std::string &Prefix, bool IsRepeatable,
+                    std::vector<route_destination> Destinations,
+                    bool IsPublic = false) {
+  return {.Id = route_id("r" + Prefix),
+          .VirtualHost = HostName,
+          .Prefix = Prefix,
+          .Destinations = std::move(Destinations),
+          .Execution = IsRepeatable ? execution_rule::Repeatable
+                                    : execution_rule::AtMostOnce,
+          .Timeout = 3s,
+          .TargetLatency = 500ms,
+          .MaxAttempts = 2,
+          .IsPublic = IsPublic};
+}
+
+gateway_configuration configurationOf(config_version Version) {
+  gateway_configuration Result{.Version = Version, .Limits = {}, .Routes = {}};
+  Result.Routes.push_back(route("/read/", true, {{.Service = Records}}));
+  Result.Routes.push_back(route("/submit/", false, {{.Service = Records}}));
+  Result.Routes.push_back(
+      route("/export/", true,
+            {{.Service = Archive, .Weight = 70},
+             {.Service = Records, .Weight = double(Version.value() % 3) * 30}},
+            true));
+  for (std::uint64_t Each = 2; Each <= Version.value(); ++Each)
+    Result.Routes.push_back(
+        route("/v" + std::to_string(Each) + "/", true, {{.Service = Records}}));
+  return Result;
+}
+
+} // namespace
+
+void soak_operators::failStore() {
+  const duration For = Course.span(500ms, 4s);
+  const std::uint64_t Kind = Course.Random.below(5);
+  Course.Checker.storeDisturbed(Course.Clock.now(),
+                                Course.Clock.now() + For + 100ms);
+  static constexpr const char *Kinds[] = {"busy", "silent", "loses answers",
+                                          "slow", "forgets its history"};
+  Course.note(std::string("store: ") + Kinds[Kind]);
+  constexpr std::uint64_t Forgets = 4;
+  if (Kind == Forgets)
+    return Store.dropHistory();
+  IsStoreWell = false;
+  Store.setFaults({.IsBusy = Kind == 0,
+                   .IsSilent = Kind == 1,
+                   .LosesWrites = Kind == 2,
+                   .Delay = Kind == 3 ? duration(200ms) : duration::zero()});
+  Course.after(For, [this] {
+    Course.note("store: well");
+    Store.setFaults({});
+    IsStoreWell = true;
+  });
+}
+
+void soak_operators::changeConfiguration() {
+  const config_version Version(LastVersion.load() + 1);
+  Course.note("configuration " + std::to_string(Version.value()));
+  const std::string Key = countyKey(Version.value());
+  Store.writeConfiguration(configurationOf(Version),
+                           {{.Name = County.value(), .Keys = {Key}},
+                            {.Name = State.value(), .Keys = {StateKey}}});
+  const time_point Now = Course.Clock.now();
+  Course.Checker.versionAcknowledged(Version, Now);
+  const std::string Before = countyKey(LastVersion);
+  if (LastVersion == 0) {
+    Course.Checker.keyWritten(StateKey, State, {});
+    Course.Checker.keyWritten(Key, County, {});
+  } else if (Key != Before) {
+    Course.note("the county's key is replaced");
+    Course.Checker.keyWritten(Key, County, Now);
+    Course.Checker.keyWithdrawn(Before, Now);
+  }
+  LastVersion = Version.value();
+}
+
+// Some callers still use the last key that was withdrawn.
+std::string soak_operators::pickKey(random_source &Chance) const {
+  const std::uint64_t Kind = Chance.below(10);
+  if (Kind < 5)
+    return StateKey;
+  const std::uint64_t Version = LastVersion;
+  return countyKey(Kind == 9 && Version >= VersionsPerKey
+                       ? Version - VersionsPerKey
+                       : Version);
+}
--- /dev/null
+++ b/tests/soak/soak_operators.h
@@ -0,0 +1,42 @@
+#ifndef TESTS_SOAK_SOAK_OPERATORS_H
+#define TESTS_SOAK_SOAK_OPERATORS_H
+
+#include "platform/emulator/store_service.h"
+#include "tests/soak/soak_course.h"
+
+#include <atomic>
+#include <string>
+#include <vector>
+
+namespace bw::soak {
+
+inline const service_id Records("records");
+inline const service_id Archive("archive");
+
+/// Writes configurations to the store, and plays faults on the store.
+class soak_operators {
+public:
+  soak_operators(soak_course &Course, platform::store_service &Store)
+      : Course(Course), Store(Store) {}
+
+  void failStore();
+  bool isStoreWell() const { return IsStoreWell; }
+
+  /// Writes the next version. Each adds a route, so that its absence tells the
+  /// version.
+  void changeConfiguration();
+  /// Version that was written last. Thread-safe.
+  std::uint64_t lastVersion() const { return LastVersion; }
+  /// Returns the key of a random customer. Thread-safe.
+  std::string pickKey(random_source &Chance) const;
+
+private:
+  soak_course &Course;
+  platform::store_service &Store;
+  std::atomic<std::uint64_t> LastVersion = 0;
+  bool IsStoreWell = true;
+};
+
+} // namespace bw::soak
+
+#endif
