Check allowances in the fault soak

No run with real processes checked the bound on the requests of a customer. The promise QUOTA: in no 5 s do more requests run than the bound allows, all hosts together; attempts of one request count once. A lowered limit binds windows that begin after all hosts are known to have it: by a served route of that version, or by 2 s in touch with the store. Answers with 429 are counted, and apart those of a customer that was inside its allowance.

Requests answered with 429 are new to three older checks and are left out of them: they earn no retries (BUDGET), show no failing server (FLOOR) and no recovery (RECOVER). Counted in, they would have made BUDGET and RECOVER easier to pass.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -26,6 +26,10 @@
       ->check(CLI::Range(1, 100));
   Program.add_option("--callers", Options.Callers, "callers")
       ->check(CLI::Range(1, 200));
+  Program
+      .add_option("--greedy-callers", Options.GreedyCallers,
+                  "callers of a customer that asks beyond its allowance")
+      ->check(CLI::Range(0, 200));
   CLI11_PARSE(Program, ArgumentCount, Arguments);
   Options.Length = std::chrono::duration_cast<bw::duration>(
       std::chrono::duration<double>(Seconds));
--- a/tests/soak/promise_checker.cpp
+++ b/tests/soak/promise_checker.cpp
@@ -63,6 +63,8 @@
   request_record &Record = Requests[Request.Label];
   Record.Asked = Request;
   Record.HostStart = Hosts[Request.Host].Started;
+  if (const customer_id *Customer = customerOf(Request))
+    Ledger.asked(*Customer, Request.At);
 }
 
 void promise_checker::arrived(const server_arrival &Arrival) {
@@ -104,6 +106,10 @@
   if (Arrival.IsDeclined)
     return;
   ++Record.Runs;
+  const customer_id *Customer = customerOf(Asked);
+  // Attempts of one request count once.
+  if (Customer != nullptr && Record.Runs == 1)
+    Ledger.ran(*Customer, Arrival.At);
   if (Asked.IsRepeatable)
     return;
   if (Record.Runs > 1)
@@ -125,6 +131,7 @@
   if (Answer.IsComplete) {
     checkContent(Answer, Record);
     checkUnauthenticated(Answer, Record);
+    countOverAllowance(Answer, Record);
     checkVersion(Answer, Record);
   } else if (!Answer.IsGivenUp) {
     checkLoss(Answer, Record);
@@ -266,6 +273,11 @@
     Arrivals.pop_front();
   checkBudget(Now);
   checkFloor(Now);
+  checkQuota(Now);
+}
+
+bool promise_checker::isOverAllowance(const request_record &Record) {
+  return Record.Answer && Record.Answer->Status == OverAllowance;
 }
 
 std::size_t promise_checker::requestsFor(const service_id &Service,
@@ -273,8 +285,10 @@
   return static_cast<std::size_t>(
       std::count_if(Requests.begin(), Requests.end(), [&](const auto &Each) {
         const asked_request &Asked = Each.second.Asked;
+        // A request over an allowance earns its service no retries.
         return Asked.At >= From && Asked.At < To &&
-               Asked.Services.contains(Service);
+               Asked.Services.contains(Service) &&
+               !isOverAllowance(Each.second);
       }));
 }
 
@@ -321,8 +335,8 @@
       if (!Record.Answer || Record.Answer->At < From ||
           !Record.Asked.Services.contains(Service) ||
           Record.Asked.Since != config_version() ||
-          // A refused key says nothing about servers.
-          Record.Answer->Status == Unauthenticated)
+          // A refused key or customer says nothing about servers.
+          Record.Answer->Status == Unauthenticated || isOverAllowance(Record))
         continue;
       ++Ended;
       Failed +=
@@ -347,7 +361,9 @@
   int Asked = 0;
   int Good = 0;
   for (const auto &[Label, Record] : Requests) {
-    if (Record.Asked.At < From || Record.Asked.At > To)
+    // Refusals over an allowance are right, but do not show that it recovers.
+    if (Record.Asked.At < From || Record.Asked.At > To ||
+        isOverAllowance(Record))
       continue;
     ++Asked;
     Good += Record.Answer && Record.Answer->IsComplete &&
--- a/tests/soak/promise_checker.h
+++ b/tests/soak/promise_checker.h
@@ -2,6 +2,7 @@
 #define TESTS_SOAK_PROMISE_CHECKER_H
 
 #include "bw_emulator/servers/emulated_server.h"
+#include "tests/soak/allowance_ledger.h"
 
 #include <deque>
 #include <map>
@@ -16,6 +17,9 @@
 /// The threads of the run note a time up to this much late.
 inline constexpr duration Late = std::chrono::milliseconds(100);
 
+/// Status of a request whose customer is over its allowance.
+inline constexpr int OverAllowance = 429;
+
 /// Bounds of the platform's settings and pages.
 struct promise_bounds {
   duration Drain = std::chrono::seconds(2);
@@ -34,6 +38,7 @@
   /// No withdrawn key runs later, at any host. Set if the settings of the hosts
   /// have `bounds.revoke_fail_closed`.
   std::optional<duration> Revocation = {};
+  allowance_bounds Allowances = {};
   /// Field in which servers get a customer's name.
   std::string CustomerField = relay_headers{}.Customer;
 };
@@ -79,11 +84,22 @@
   time_point At{};
 };
 
+/// What was counted about allowances.
+struct allowance_counts {
+  /// Answers with 429.
+  std::size_t Refused = 0;
+  /// Those of them whose customer was inside its allowance.
+  std::size_t RefusedInside = 0;
+  /// Most runs in any window, as a share of what its bound allows.
+  double BusiestWindow = 0;
+};
+
 /// Holds what callers and backend servers see against the promises, while a
 /// run goes on. Thread-safe.
 class promise_checker {
 public:
-  explicit promise_checker(promise_bounds Bounds = {}) : Bounds(Bounds) {}
+  explicit promise_checker(promise_bounds Bounds = {})
+      : Bounds(Bounds), Ledger(Bounds.Allowances, Late) {}
 
   void asked(const asked_request &Request);
   void arrived(const server_arrival &Arrival);
@@ -110,6 +126,10 @@
                   time_point At);
   /// The store has acknowledged a version without the key.
   void keyWithdrawn(const std::string &Key, time_point At);
+  /// The store has acknowledged the version with this allowance.
+  void allowanceWritten(const customer_id &Customer,
+                        const customer_allowance &Allowance,
+                        config_version Version, time_point At);
 
   /// Checks what holds over windows; about twice a second.
   void checkWindows(time_point Now);
@@ -124,6 +144,7 @@
   std::size_t served() const;
   /// Requests that were answered with 401.
   std::size_t unauthenticated() const;
+  allowance_counts allowances() const;
 
 private:
   struct interval {
@@ -172,6 +193,13 @@
   void checkCustomer(const server_arrival &Arrival, const asked_request &Asked);
   void checkUnauthenticated(const seen_answer &Answer,
                             const request_record &Record);
+  const customer_id *customerOf(const asked_request &Asked) const;
+  void countOverAllowance(const seen_answer &Answer,
+                          const request_record &Record);
+  bool hasVersion(const host_id &Host, config_version Version,
+                  time_point Now) const;
+  void checkQuota(time_point Now);
+  static bool isOverAllowance(const request_record &Record);
   void checkContent(const seen_answer &Answer, const request_record &Record);
   void checkVersion(const seen_answer &Answer, const request_record &Record);
   void checkLoss(const seen_answer &Answer, const request_record &Record);
@@ -192,6 +220,8 @@
   std::vector<violation> Violations;
   std::size_t Served = 0;
   std::size_t UnauthenticatedCount = 0;
+  allowance_ledger Ledger;
+  allowance_counts Allowances;
 };
 
 } // namespace bw::soak
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -15,11 +15,48 @@
 // Enough requests that a server of five gets some in two seconds by chance.
 constexpr std::uint64_t LongestThought = 60;
 
+constexpr duration LongestWait = 1500ms;
+// Callers of the customer with an allowance ask beyond it and then stay inside
+// it in turn. The calm time is longer than the window of the allowances, so
+// that its end shows wrong refusals.
+constexpr duration FloodTime = 7s;
+constexpr duration CalmTime = 6s;
+constexpr duration CalmPause = 900ms;
+
+duration thought(random_source &Chance) {
+  return std::chrono::milliseconds(10 + Chance.below(LongestThought));
+}
+
 } // namespace
 
 void soak_callers::start() {
-  for (int Index = 0; Index < Course.Options.Callers; ++Index)
-    Threads.emplace_back([this, Index] { callOn(Index); });
+  const int Ordinary = Course.Options.Callers;
+  for (int Index = 0; Index < Ordinary + Course.Options.GreedyCallers; ++Index)
+    Threads.emplace_back([this, Index, Ordinary] {
+      callOn(Index, Index < Ordinary ? ordinary() : greedy());
+    });
+}
+
+caller_conduct soak_callers::ordinary() const {
+  return {
+      .PickKey =
+          [this](random_source &Chance) { return Operators.pickKey(Chance); },
+      // A refused caller comes back as it was told.
+      .Pause =
+          [](random_source &Chance, duration RetryAfter) {
+            return std::max(thought(Chance), RetryAfter);
+          }};
+}
+
+// Ignores the times that answers ask to wait.
+caller_conduct soak_callers::greedy() {
+  return {.PickKey = [](random_source &) { return TownshipKey; },
+          .Pause =
+              [this](random_source &Chance, duration) {
+                const duration Passed = (Course.Clock.now() - Course.Start) %
+                                        (FloodTime + CalmTime);
+                return Passed < FloodTime ? thought(Chance) : CalmPause;
+              }};
 }
 
 void soak_callers::end() {
@@ -30,11 +67,12 @@
 }
 
 asked_request soak_callers::nextRequest(random_source &Chance,
-                                        const request_label &Label) {
+                                        const request_label &Label,
+                                        const caller_conduct &Conduct) const {
   asked_request Result{.Label = Label, .Method = "GET", .IsRepeatable = true};
   const std::uint64_t Kind = Chance.below(10);
   const std::uint64_t Newest = Operators.lastVersion();
-  Result.Key = Operators.pickKey(Chance);
+  Result.Key = Conduct.PickKey(Chance);
   if (Kind <= 2) {
     Result.Method = "POST";
     Result.Target = "/submit/x/500/" + Label.value();
@@ -59,7 +97,7 @@
   return Result;
 }
 
-void soak_callers::callOn(int Index) {
+void soak_callers::callOn(int Index, const caller_conduct &Conduct) {
   random_source Chance(
       mixHash(Course.Options.Seed, std::uint64_t(Index) + 1000));
   std::uint64_t Number = 0;
@@ -75,19 +113,19 @@
     }
     if (Connection->isOpen()) {
       asked_request Request =
-          nextRequest(Chance, request_label("c" + std::to_string(Index) + "n" +
-                                            std::to_string(++Number)));
+          nextRequest(Chance,
+                      request_label("c" + std::to_string(Index) + "n" +
+                                    std::to_string(++Number)),
+                      Conduct);
       Request.Host = Host->Id;
       Request.At = Course.Clock.now();
       Course.Checker.asked(Request);
       Course.Checker.answered(
           Connection->call(Request, CallerDeadline, Course.Clock));
     }
-    // A refused caller comes back as it was told.
-    const auto Wait = std::max<duration>(
-        std::chrono::milliseconds(10 + Chance.below(LongestThought)),
-        std::chrono::duration_cast<duration>(
-            std::chrono::duration<double>(Connection->retryAfter())));
-    std::this_thread::sleep_for(std::min<duration>(Wait, 1500ms));
+    const auto RetryAfter = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(Connection->retryAfter()));
+    std::this_thread::sleep_for(
+        std::min(Conduct.Pause(Chance, RetryAfter), LongestWait));
   }
 }
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -6,11 +6,20 @@
 #include "tests/soak/soak_operators.h"
 
 #include <atomic>
+#include <functional>
+#include <string>
 #include <thread>
 #include <vector>
 
 namespace bw::soak {
 
+/// How a caller of one kind behaves.
+struct caller_conduct {
+  std::function<std::string(random_source &)> PickKey;
+  /// Time until its next request, if it was asked to wait so long.
+  std::function<duration(random_source &, duration RetryAfter)> Pause;
+};
+
 /// The callers of a run, each on a thread of its own. Give the checker what
 /// they ask and what they see.
 class soak_callers {
@@ -26,8 +35,11 @@
   void end();
 
 private:
-  void callOn(int Index);
-  asked_request nextRequest(random_source &Chance, const request_label &Label);
+  caller_conduct ordinary() const;
+  caller_conduct greedy();
+  void callOn(int Index, const caller_conduct &Conduct);
+  asked_request nextRequest(random_source &Chance, const request_label &Label,
+                            const caller_conduct &Conduct) const;
 
   soak_course &Course;
   soak_hosts &Hosts;
--- a/tests/soak/soak_hosts.cpp
+++ b/tests/soak/soak_hosts.cpp
@@ -86,7 +86,8 @@
       .GracePeriod = Bounds.Grace,
       .RetryRatio = ratio(Bounds.RetryRatio),
       .RetrySlack = Bounds.RetrySlack,
-      .FloorShare = ratio(Bounds.FloorShare)};
+      .FloorShare = ratio(Bounds.FloorShare),
+      .Allowances = Bounds.Allowances};
   for (int Seed = 1; Seed <= std::min(Options.Hosts, 3); ++Seed)
     Settings.Seeds.push_back(
         {.Ip = Prefix + std::to_string(Seed), .Port = ControlPort});
--- a/tests/soak/soak_operators.cpp
+++ b/tests/soak/soak_operators.cpp
@@ -12,11 +12,20 @@
 const std::string StateKey = "soak-key-state";
 // The county's key is replaced with every third version.
 constexpr std::uint64_t VersionsPerKey = 3;
+const customer_id Township("township");
+// The township's allowance is lowered and raised with every third version.
+constexpr std::uint64_t VersionsPerAllowance = 3;
+const customer_allowance HighAllowance{.Rate = request_rate(12), .Burst = 12};
+const customer_allowance LowAllowance{.Rate = request_rate(4), .Burst = 4};
 
 std::string countyKey(std::uint64_t Version) {
   return "soak-key-county-" + std::to_string(Version / VersionsPerKey);
 }
 
+const customer_allowance &townshipAllowance(std::uint64_t Version) {
+  return Version / VersionsPerAllowance % 2 == 0 ? HighAllowance : LowAllowance;
+}
+
 gateway_route route(const std::string &Prefix, bool IsRepeatable,
                     std::vector<route_destination> Destinations,
                     bool IsPublic = false) {
@@ -76,15 +85,24 @@
   const config_version Version(LastVersion.load() + 1);
   Course.note("configuration " + std::to_string(Version.value()));
   const std::string Key = countyKey(Version.value());
+  const customer_allowance &Allowance = townshipAllowance(Version.value());
   Store.writeConfiguration(configurationOf(Version),
                            {{.Name = County.value(), .Keys = {Key}},
-                            {.Name = State.value(), .Keys = {StateKey}}});
+                            {.Name = State.value(), .Keys = {StateKey}},
+                            {.Name = Township.value(),
+                             .Keys = {TownshipKey},
+                             .Allowance = Allowance}});
   const time_point Now = Course.Clock.now();
   Course.Checker.versionAcknowledged(Version, Now);
+  Course.Checker.allowanceWritten(Township, Allowance, Version, Now);
+  if (Allowance != townshipAllowance(LastVersion))
+    Course.note("the township's rate is " +
+                std::to_string(Allowance.Rate.value()));
   const std::string Before = countyKey(LastVersion);
   if (LastVersion == 0) {
     Course.Checker.keyWritten(StateKey, State, {});
     Course.Checker.keyWritten(Key, County, {});
+    Course.Checker.keyWritten(TownshipKey, Township, {});
   } else if (Key != Before) {
     Course.note("the county's key is replaced");
     Course.Checker.keyWritten(Key, County, Now);
--- a/tests/soak/soak_operators.h
+++ b/tests/soak/soak_operators.h
@@ -13,6 +13,9 @@
 inline const service_id Records("records");
 inline const service_id Archive("archive");
 
+/// Key of the customer that has an allowance.
+inline const std::string TownshipKey = "soak-key-township";
+
 /// Writes configurations to the store, and plays faults on the store.
 class soak_operators {
 public:
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -104,6 +104,7 @@
                        .Requests = Course.Checker.requests(),
                        .Served = Course.Checker.served(),
                        .Unauthenticated = Course.Checker.unauthenticated(),
+                       .Allowances = Course.Checker.allowances(),
                        .Faults = Faults};
     for (const violation &Each : Result.Violations)
       if (!Each.Label.value().empty())
@@ -133,6 +134,10 @@
   std::cout << "seed " << Options.Seed << ": " << Result.Faults << " faults, "
             << Result.Requests << " requests, " << Result.Served << " served, "
             << Result.Unauthenticated << " with refused keys, "
+            << Result.Allowances.Refused << " answered 429 ("
+            << Result.Allowances.RefusedInside
+            << " inside an allowance), busiest window "
+            << Result.Allowances.BusiestWindow << " of its bound, "
             << Result.Violations.size() << " promises broken\n";
   if (Result.Violations.empty())
     return true;
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -16,6 +16,8 @@
   int Hosts = 6;
   int ServersPerService = 5;
   int Callers = 12;
+  /// Callers of a customer that asks for more than its allowance.
+  int GreedyCallers = 3;
 };
 
 struct soak_result {
@@ -27,6 +29,7 @@
   std::size_t Requests = 0;
   std::size_t Served = 0;
   std::size_t Unauthenticated = 0;
+  allowance_counts Allowances;
   std::size_t Faults = 0;
 };
 
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -25,6 +25,7 @@
     // A run that asks nothing checks nothing.
     CPPUNIT_ASSERT(Result.Served > 300 && Result.Faults > 0);
     CPPUNIT_ASSERT(Result.Unauthenticated > 0);
+    CPPUNIT_ASSERT(Result.Allowances.Refused > 0);
   }
 };
 
