Play crowds of slow clients in the fault soak

Slow clients were only tested against a single host without other faults. The soak now plans crowds of six clients, some 4 s apart, against a host in rotation: each pipelines 8 requests for responses of 1 MB and reads nothing or 20 KB in a tenth of a second, for 1 to 4 s. The promises to other callers and the checks of memory and exits stay as they are; what servers get must be what the crowd asked. The settings of the hosts now have limits.memory_mb 160 and limits.file_descriptors 4100, so the process budget is in force.

The crowds come from tests/slow_clients, which gets a hook for a request per client (labels must differ) and is a library now. They draw from a random source of their own, so a seed's other faults stay the same.

--- a/tests/slow_clients/crowd.cpp
+++ b/tests/slow_clients/crowd.cpp
@@ -51,8 +51,11 @@
 
 crowd::crowd(const caller_address &Address, crowd_options GivenOptions)
     : Options(std::move(GivenOptions)), Clients(Options.Size) {
-  for (client &Each : Clients)
-    Each.Descriptor = connectTo(Address);
+  for (std::size_t Index = 0; Index < Clients.size(); ++Index) {
+    Clients[Index].Descriptor = connectTo(Address);
+    if (Options.RequestOf)
+      Clients[Index].OwnRequest = Options.RequestOf(Index);
+  }
 }
 
 crowd::~crowd() {
@@ -78,13 +81,17 @@
                     [](const client &Each) { return Each.Descriptor >= 0; }));
 }
 
+const std::string &crowd::requestOf(const client &Client) const {
+  return Options.RequestOf ? Client.OwnRequest : Options.Request;
+}
+
 void crowd::sendSome(client &Client) const {
-  std::size_t Left = std::min<std::size_t>(
-      Options.SentPerRound.value(), Options.Request.size() - Client.Sent);
+  const std::string &Request = requestOf(Client);
+  std::size_t Left = std::min<std::size_t>(Options.SentPerRound.value(),
+                                           Request.size() - Client.Sent);
   while (Client.Descriptor >= 0 && Left > 0) {
-    const ssize_t Size =
-        ::send(Client.Descriptor, Options.Request.data() + Client.Sent, Left,
-               MSG_NOSIGNAL | MSG_DONTWAIT);
+    const ssize_t Size = ::send(Client.Descriptor, Request.data() + Client.Sent,
+                                Left, MSG_NOSIGNAL | MSG_DONTWAIT);
     if (Size < 0 && errno != EAGAIN)
       end(Client.Descriptor);
     if (Size <= 0)
--- a/tests/slow_clients/crowd.h
+++ b/tests/slow_clients/crowd.h
@@ -21,6 +21,8 @@
   std::size_t Size = 0;
   /// What each client sends.
   std::string Request;
+  /// If set, gives each client a request of its own in place of `Request`.
+  std::function<std::string(std::size_t Client)> RequestOf = {};
   /// The most that a client sends in a round.
   byte_count SentPerRound = mebibytes(1);
   /// The most that a client reads in a round.
@@ -47,9 +49,12 @@
 private:
   struct client {
     int Descriptor = -1;
+    /// Empty where all clients send the same, which may be long.
+    std::string OwnRequest;
     std::size_t Sent = 0;
   };
 
+  const std::string &requestOf(const client &Client) const;
   void sendSome(client &Client) const;
   void readSome(client &Client) const;
 
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -62,6 +62,20 @@
 
 } // namespace
 
+std::string bw::soak::requestText(const asked_request &Request,
+                                  const relay_headers &Names, duration Limit) {
+  std::string Text = Request.Method + " " + Request.Target +
+                     " HTTP/1.1\r\nHost: soak.example\r\n" +
+                     Names.RequestLabel + ": " + Request.Label.value() +
+                     "\r\n" + Names.Deadline + ": " +
+                     std::to_string(milliseconds(Limit)) + "\r\n";
+  if (!Request.Key.empty())
+    Text += "Authorization: Bearer " + Request.Key + "\r\n";
+  if (!Request.Body.empty())
+    Text += "Content-Length: " + std::to_string(Request.Body.size()) + "\r\n";
+  return Text + "\r\n" + Request.Body;
+}
+
 caller_connection_client::caller_connection_client(const host_address &Address,
                                                    const relay_headers &Names)
     : Names(Names), Descriptor(connectTo(Address, ConnectMilliseconds)) {}
@@ -93,15 +107,6 @@
                                            duration Limit,
                                            runtime_clock &Clock) {
   seen_answer Result{.Label = Request.Label};
-  std::string Text = Request.Method + " " + Request.Target +
-                     " HTTP/1.1\r\nHost: soak.example\r\n" +
-                     Names.RequestLabel + ": " + Request.Label.value() +
-                     "\r\n" + Names.Deadline + ": " +
-                     std::to_string(milliseconds(Limit)) + "\r\n";
-  if (!Request.Key.empty())
-    Text += "Authorization: Bearer " + Request.Key + "\r\n";
-  if (!Request.Body.empty())
-    Text += "Content-Length: " + std::to_string(Request.Body.size()) + "\r\n";
   RetryAfter = 0;
   bool KeepsOpen = true;
   http1_parser Parser(
@@ -120,7 +125,7 @@
            },
        .OnBody = [&](std::string_view Part) { Result.Body += Part; }});
   const time_point Deadline = Clock.now() + Limit;
-  if (send(Text + "\r\n" + Request.Body)) {
+  if (send(requestText(Request, Names, Limit))) {
     std::array<char, 65'536> Buffer{};
     while (!Result.IsComplete) {
       const std::size_t Size =
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -17,6 +17,10 @@
   std::uint16_t Port = 0;
 };
 
+/// The request as it is sent, with the time that the caller waits at most.
+std::string requestText(const asked_request &Request,
+                        const relay_headers &Names, duration Limit);
+
 /// A connection of a caller to a host, kept from one request to the next as
 /// long as both sides keep it. Blocking; for one thread.
 class caller_connection_client {
--- a/tests/soak/soak_hosts.cpp
+++ b/tests/soak/soak_hosts.cpp
@@ -29,6 +29,7 @@
 constexpr int MissesOutOfRotation = 2;
 // What the platform allows its smallest hosts.
 constexpr byte_count HostMemory = mebibytes(160);
+constexpr std::uint64_t HostDescriptors = 4100;
 
 } // namespace
 
@@ -81,6 +82,8 @@
       .LastInternalPort = LastPort,
       .Store = {.Ip = "127.0.0.1", .Port = Host->StoreRelay->port()},
       .ProcessorShare = ratio(Index % 3 == 0 ? 0.5 : 0.1),
+      .Memory = HostMemory,
+      .FileDescriptors = HostDescriptors,
       .HeartbeatInterval = 1500ms,
       .DrainBound = Bounds.Drain,
       .GracePeriod = Bounds.Grace,
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,6 +1,7 @@
 #include "tests/soak/soak_run.h"
 
 #include "tests/soak/soak_callers.h"
+#include "tests/soak/soak_crowds.h"
 #include "tests/soak/soak_hosts.h"
 #include "tests/soak/soak_operators.h"
 #include "tests/soak/soak_servers.h"
@@ -37,6 +38,7 @@
     });
     Course.Checker.checkRecovery(End - 3s, End - 1s);
     Callers.end();
+    Crowds.end();
     Hosts.endFollowing();
     Hosts.stop();
     return result();
@@ -62,6 +64,7 @@
         if (Operators.isStoreWell())
           Operators.changeConfiguration();
       });
+    Crowds.plan(First, Last);
     Course.at(Last + Recovery, [] {});
     End = Last + Recovery;
   }
@@ -105,7 +108,8 @@
                        .Served = Course.Checker.served(),
                        .Unauthenticated = Course.Checker.unauthenticated(),
                        .Allowances = Course.Checker.allowances(),
-                       .Faults = Faults};
+                       .Faults = Faults,
+                       .Crowds = Crowds.connected()};
     for (const violation &Each : Result.Violations)
       if (!Each.Label.value().empty())
         for (std::string &Line : Hosts.logLines(Each.Label))
@@ -118,6 +122,7 @@
   soak_operators Operators{Course, Store};
   soak_servers Servers{Course, Store};
   soak_hosts Hosts{Course, Store.port()};
+  soak_crowds Crowds{Course, Hosts};
   soak_callers Callers{Course, Hosts, Operators};
   time_point End{};
   std::size_t Faults = 0;
@@ -132,10 +137,10 @@
 bool bw::soak::printResult(const soak_options &Options,
                            const soak_result &Result) {
   std::cout << "seed " << Options.Seed << ": " << Result.Faults << " faults, "
-            << Result.Requests << " requests, " << Result.Served << " served, "
-            << Result.Unauthenticated << " with refused keys, "
-            << Result.Allowances.Refused << " answered 429 ("
-            << Result.Allowances.RefusedInside
+            << Result.Crowds << " crowds, " << Result.Requests << " requests, "
+            << Result.Served << " served, " << Result.Unauthenticated
+            << " with refused keys, " << Result.Allowances.Refused
+            << " answered 429 (" << Result.Allowances.RefusedInside
             << " inside an allowance), busiest window "
             << Result.Allowances.BusiestWindow << " of its bound, "
             << Result.Violations.size() << " promises broken\n";
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -31,6 +31,8 @@
   std::size_t Unauthenticated = 0;
   allowance_counts Allowances;
   std::size_t Faults = 0;
+  /// Crowds of slow clients that were connected to a host.
+  std::size_t Crowds = 0;
 };
 
 /// Runs the real gateway program as separate processes on loopback, with the
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_ASSERT(Result.Served > 300 && Result.Faults > 0);
     CPPUNIT_ASSERT(Result.Unauthenticated > 0);
     CPPUNIT_ASSERT(Result.Allowances.Refused > 0);
+    CPPUNIT_ASSERT(Result.Crowds > 0);
   }
 };
 
