Share the set-up of the engine's tests

Five test files of bw_gateway each had their own way to hand events to an engine, to list servers, and to make keys, customers and their directory. A change of an event had to be repeated in all of them. engine_fixture_test.h now holds what occurred three times or more: engine_fixture (handle, receive, end, advance, only, startsWith, with a hook after each event for the tests that tick or leave commands out), serversOf, customerOf, directoryOf and key.

--- a/modules/bw_gateway/admission/request_admission_test.cpp
+++ b/modules/bw_gateway/admission/request_admission_test.cpp
@@ -1,12 +1,9 @@
 // Requests that wait for room, as seen from the engine.
 
-#include "bw_gateway/engine/gateway_engine.h"
-
-#include "bw_testing/runner/test_seed.h"
-
-#include <cppunit/extensions/HelperMacros.h>
+#include "bw_gateway/engine/engine_fixture_test.h"
 
 using namespace bw;
+using namespace bw::engine_test;
 using namespace std::chrono_literals;
 
 namespace {
@@ -29,7 +26,7 @@
 
 } // namespace
 
-class request_admission_test : public CppUnit::TestFixture {
+class request_admission_test : public engine_fixture {
   CPPUNIT_TEST_SUITE(request_admission_test);
   CPPUNIT_TEST(nothingWaitsWithoutPriorities);
   CPPUNIT_TEST(aWaitingRequestStartsWhenAnAttemptEnds);
@@ -47,6 +44,11 @@
   void setUp() override {
     Engine = std::make_unique<gateway_engine>(
         gateway_engine_options{.Seed = testSeed(), .QueuesByUrgency = true});
+    AfterEvent = [](commands &Out) {
+      std::erase_if(Out, [](const gateway_command &Each) {
+        return std::holds_alternative<limits_changed>(Each);
+      });
+    };
     Now = time_point(100s);
     LastRequest = {};
   }
@@ -171,8 +173,6 @@
   }
 
 private:
-  using commands = gateway_engine::commands;
-
   void configure(std::uint32_t Urgent = 0, std::uint32_t Patient = 2,
                  int Servers = 1) {
     auto Configuration = std::make_shared<gateway_configuration>();
@@ -183,29 +183,12 @@
     handle(configuration_read{Configuration});
     servers_listed List{.Revision = store_revision(1), .Servers = {}};
     for (int Index = 0; Index < Servers; ++Index)
-      List.Servers.push_back(server("diary-" + std::to_string(Index), Diary));
-    List.Servers.push_back(server("ledger", Ledger));
+      List.Servers.push_back(
+          serverOf("diary-" + std::to_string(Index), Diary, slot_count(1)));
+    List.Servers.push_back(serverOf("ledger", Ledger, slot_count(1)));
     handle(List);
   }
 
-  static listed_server server(const std::string &Name,
-                              const service_id &Service) {
-    return {.Server = backend_server_id(Name),
-            .Service = Service,
-            .DataCentre = data_centre_id("near"),
-            .Address = server_address("10.0.0.1:80"),
-            .Slots = slot_count(1)};
-  }
-
-  commands handle(const gateway_event &Event) {
-    commands Out;
-    Engine->handle(Event, Now, Out);
-    std::erase_if(Out, [](const gateway_command &Each) {
-      return std::holds_alternative<limits_changed>(Each);
-    });
-    return Out;
-  }
-
   commands tick() {
     commands Out;
     CPPUNIT_ASSERT(Engine->nextDue() <= Now);
@@ -214,30 +197,13 @@
   }
 
   commands arrive(const std::string &Path, duration Timeout = 8s) {
-    LastRequest = LastRequest.next();
-    return handle(request_arrived{.Request = LastRequest,
-                                  .VirtualHost = "one.example",
-                                  .Path = Path,
-                                  .CallerTimeout = Timeout});
+    return receive({.Path = Path, .CallerTimeout = Timeout});
   }
 
   commands end(const start_attempt &Attempt, attempt_outcome Outcome) {
-    return handle(attempt_ended{
-        .Request = Attempt.Request,
-        .Attempt = Attempt.Attempt,
-        .Outcome = Outcome,
-        .Status = Outcome == attempt_outcome::Answered ? 200 : 0});
+    return engine_fixture::end(Attempt, Outcome,
+                               Outcome == attempt_outcome::Answered ? 200 : 0);
   }
-
-  template <typename Command> static Command only(const commands &Out) {
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Out.size());
-    CPPUNIT_ASSERT(std::holds_alternative<Command>(Out.front()));
-    return std::get<Command>(Out.front());
-  }
-
-  std::unique_ptr<gateway_engine> Engine;
-  time_point Now;
-  request_number LastRequest;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(request_admission_test);
--- a/modules/bw_gateway/customers/customer_allowances_test.cpp
+++ b/modules/bw_gateway/customers/customer_allowances_test.cpp
@@ -1,12 +1,9 @@
-#include "bw_gateway/engine/gateway_engine.h"
-
-#include "bw_testing/runner/test_seed.h"
-
-#include <cppunit/extensions/HelperMacros.h>
+#include "bw_gateway/engine/engine_fixture_test.h"
 
 #include <set>
 
 using namespace bw;
+using namespace bw::engine_test;
 using namespace std::chrono_literals;
 
 namespace {
@@ -15,11 +12,6 @@
 const customer_id Limited("limited");
 const customer_id Free("free");
 
-presented_key keyOf(const customer_id &Customer) {
-  return {.Presence = key_presence::Present,
-          .Digest = key_digest::of(Customer.value())};
-}
-
 std::shared_ptr<const gateway_configuration>
 configuration(std::uint64_t Version, customer_allowance Allowance) {
   auto Result = std::make_shared<gateway_configuration>();
@@ -33,15 +25,10 @@
                      .TargetLatency = 1s,
                      .MaxAttempts = 2,
                      .IsPublic = true}};
-  Result->Customers = std::make_shared<const customer_directory>(
-      std::vector<customer>{{.Name = Limited,
-                             .Keys = {keyOf(Limited).Digest},
-                             .Priority = {},
-                             .Allowance = Allowance},
-                            {.Name = Free,
-                             .Keys = {keyOf(Free).Digest},
-                             .Priority = {},
-                             .Allowance = {}}});
+  // The name of a customer is its key.
+  Result->Customers =
+      directoryOf({customerOf(Limited.value(), {Limited.value()}, Allowance),
+                   customerOf(Free.value(), {Free.value()})});
   return Result;
 }
 
@@ -49,7 +36,7 @@
 
 } // namespace
 
-class customer_allowances_test : public CppUnit::TestFixture {
+class customer_allowances_test : public engine_fixture {
   CPPUNIT_TEST_SUITE(customer_allowances_test);
   CPPUNIT_TEST(refusesAboveTheAllowance);
   CPPUNIT_TEST(limitsOnlyWhomTheConfigurationLimits);
@@ -255,40 +242,13 @@
     return Result;
   }
 
-  void listServers() {
-    servers_listed List{.Revision = store_revision(1)};
-    for (int Index = 0; Index < 5; ++Index)
-      List.Servers.push_back(
-          {.Server = backend_server_id("server-" + std::to_string(Index)),
-           .Service = Service,
-           .DataCentre = data_centre_id("near"),
-           .Address = server_address("10.0.0.1:80"),
-           .Slots = slot_count(400)});
-    handle(List);
-  }
-
-  gateway_engine::commands handle(const gateway_event &Event) {
-    gateway_engine::commands Out;
-    Engine->handle(Event, Now, Out);
-    return Out;
-  }
+  void listServers() { handle(serversOf(Service, 5, slot_count(400))); }
 
   gateway_engine::commands arrive(const customer_id &Customer) {
-    LastRequest = LastRequest.next();
-    return handle(request_arrived{.Request = LastRequest,
-                                  .Label = request_label("label"),
-                                  .VirtualHost = "one.example",
-                                  .Path = "/path",
-                                  .CallerTimeout = 8s,
-                                  .Key = keyOf(Customer)});
-  }
-
-  gateway_engine::commands end(const start_attempt &Attempt,
-                               attempt_outcome Outcome, int Status = 0) {
-    return handle(attempt_ended{.Request = Attempt.Request,
-                                .Attempt = Attempt.Attempt,
-                                .Outcome = Outcome,
-                                .Status = Status});
+    return receive({.Label = request_label("label"),
+                    .Path = "/path",
+                    .CallerTimeout = 8s,
+                    .Key = key(Customer.value())});
   }
 
   void exchange() {
@@ -312,17 +272,13 @@
   }
 
   static bool isSent(const gateway_engine::commands &Out) {
-    return !Out.empty() && std::holds_alternative<start_attempt>(Out.front());
+    return startsWith<start_attempt>(Out);
   }
   static refusal_reason reasonOf(const gateway_engine::commands &Out) {
     CPPUNIT_ASSERT(!Out.empty() &&
                    std::holds_alternative<refuse_request>(Out.front()));
     return std::get<refuse_request>(Out.front()).Reason;
   }
-
-  std::unique_ptr<gateway_engine> Engine;
-  time_point Now;
-  request_number LastRequest;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(customer_allowances_test);
--- a/modules/bw_gateway/customers/customer_freshness_test.cpp
+++ b/modules/bw_gateway/customers/customer_freshness_test.cpp
@@ -1,15 +1,12 @@
 // Tests how the engine refuses requests with keys while its configuration is
 // not known to be current, and looks keys up again before each attempt.
 
-#include "bw_gateway/engine/gateway_engine.h"
-
-#include "bw_testing/runner/test_seed.h"
-
-#include <cppunit/extensions/HelperMacros.h>
+#include "bw_gateway/engine/engine_fixture_test.h"
 
 #include <set>
 
 using namespace bw;
+using namespace bw::engine_test;
 using namespace std::chrono_literals;
 
 namespace {
@@ -32,10 +29,6 @@
           .IsPublic = IsPublic};
 }
 
-presented_key key(const std::string &Text) {
-  return {.Presence = key_presence::Present, .Digest = key_digest::of(Text)};
-}
-
 using key_list = std::vector<std::pair<std::string, std::string>>;
 
 // Pairs name a customer and its key.
@@ -48,28 +41,14 @@
                     route("/open/", execution_rule::Repeatable, true)};
   std::vector<customer> Customers;
   for (const auto &[Name, Key] : Keys)
-    Customers.push_back(
-        {.Name = customer_id(Name), .Keys = {key_digest::of(Key)}});
-  Result->Customers =
-      std::make_shared<const customer_directory>(std::move(Customers));
-  return Result;
-}
-
-servers_listed servers() {
-  servers_listed Result{.Revision = store_revision(1), .Servers = {}};
-  for (int Index = 0; Index < 5; ++Index)
-    Result.Servers.push_back(
-        {.Server = backend_server_id("server-" + std::to_string(Index)),
-         .Service = Diary,
-         .DataCentre = data_centre_id("near"),
-         .Address = server_address("10.0.0.1:80"),
-         .Slots = slot_count(4)});
+    Customers.push_back(customerOf(Name, {Key}));
+  Result->Customers = directoryOf(std::move(Customers));
   return Result;
 }
 
 } // namespace
 
-class customer_freshness_test : public CppUnit::TestFixture {
+class customer_freshness_test : public engine_fixture {
   CPPUNIT_TEST_SUITE(customer_freshness_test);
   CPPUNIT_TEST(refusesKeysUntilAProofIsKnown);
   CPPUNIT_TEST(refusesKeysFromTheBoundOn);
@@ -158,7 +137,7 @@
     auto Open = std::make_shared<gateway_configuration>(*configuration(1, {}));
     Open->Customers = nullptr;
     handle(configuration_read{Open});
-    handle(servers());
+    handle(serversOf(Diary, 5));
     CPPUNIT_ASSERT(!only<start_attempt>(arrive("/read/1", {})).SendBefore);
     CPPUNIT_ASSERT(only<refuse_request>(arrive("/other/1", {})).Reason ==
                    refusal_reason::NoRoute);
@@ -342,12 +321,14 @@
     };
     Engine = std::make_unique<gateway_engine>(std::move(Options));
     Now = time_point(100s);
+    // As the decide service does.
+    AfterEvent = [this](commands &Out) { Engine->tick(Now, Out); };
     handle(time_suspended{.Total = InitialSuspension});
   }
 
   void configure(std::uint64_t Version, const key_list &Keys) {
     handle(configuration_read{configuration(Version, Keys)});
-    handle(servers());
+    handle(serversOf(Diary, 5));
   }
 
   boot_time_point bootNow() const {
@@ -359,58 +340,14 @@
                                   .CurrentAt = bootNow()});
   }
 
-  // Ticks after each event, as the decide service does.
-  gateway_engine::commands handle(const gateway_event &Event) {
-    gateway_engine::commands Out;
-    Engine->handle(Event, Now, Out);
-    Engine->tick(Now, Out);
-    return Out;
-  }
-
   gateway_engine::commands arrive(const std::string &Path,
                                   const presented_key &Key) {
-    LastRequest = LastRequest.next();
-    return handle(request_arrived{.Request = LastRequest,
-                                  .Label = request_label("label"),
-                                  .VirtualHost = "one.example",
-                                  .Path = Path,
-                                  .CallerTimeout = 20s,
-                                  .Key = Key});
-  }
-
-  gateway_engine::commands end(const start_attempt &Attempt,
-                               attempt_outcome Outcome, int Status = 0) {
-    return handle(attempt_ended{.Request = Attempt.Request,
-                                .Attempt = Attempt.Attempt,
-                                .Outcome = Outcome,
-                                .Status = Status});
-  }
-
-  gateway_engine::commands advance(duration Step) {
-    gateway_engine::commands Out;
-    const time_point Until = Now + Step;
-    while (Engine->nextDue() <= Until) {
-      Now = std::max(Now, Engine->nextDue());
-      Engine->tick(Now, Out);
-    }
-    Now = Until;
-    return Out;
-  }
-
-  template <typename Command>
-  static Command only(const gateway_engine::commands &Out) {
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Out.size());
-    CPPUNIT_ASSERT(std::holds_alternative<Command>(Out.front()));
-    return std::get<Command>(Out.front());
-  }
-  template <typename Command>
-  static bool startsWith(const gateway_engine::commands &Out) {
-    return !Out.empty() && std::holds_alternative<Command>(Out.front());
+    return receive({.Label = request_label("label"),
+                    .Path = Path,
+                    .CallerTimeout = 20s,
+                    .Key = Key});
   }
 
-  std::unique_ptr<gateway_engine> Engine;
-  time_point Now;
-  request_number LastRequest;
   std::vector<freshness_change> Changes;
   int Ejections = 0;
   /// The largest share of failures of a server that got an attempt.
--- a/modules/bw_gateway/customers/customer_gate_test.cpp
+++ b/modules/bw_gateway/customers/customer_gate_test.cpp
@@ -1,8 +1,9 @@
 #include "bw_gateway/customers/customer_gate.h"
 
-#include <cppunit/extensions/HelperMacros.h>
+#include "bw_gateway/engine/engine_fixture_test.h"
 
 using namespace bw;
+using namespace bw::engine_test;
 
 namespace {
 
@@ -73,23 +74,15 @@
   if (Known == customers_known::NotNamed)
     return Result;
   std::vector<customer> Customers;
-  if (Known == customers_known::Two)
-    Customers = {{.Name = customer_id("county"),
-                  .Keys = {key_digest::of("k1"), key_digest::of("k2")},
-                  .Priority = 0,
-                  .Allowance = {}},
-                 {.Name = customer_id("state"),
-                  .Keys = {key_digest::of("k3")},
-                  .Priority = {},
-                  .Allowance = {}}};
-  Result->Customers = std::make_shared<const customer_directory>(Customers);
+  if (Known == customers_known::Two) {
+    Customers = {customerOf("county", {"k1", "k2"}),
+                 customerOf("state", {"k3"})};
+    Customers[0].Priority = 0;
+  }
+  Result->Customers = directoryOf(Customers);
   return Result;
 }
 
-presented_key keyOf(const char *Key) {
-  return {.Presence = key_presence::Present, .Digest = key_digest::of(Key)};
-}
-
 constexpr time_point Now{};
 
 } // namespace
@@ -137,19 +130,15 @@
     customer_gate Gate;
     Gate.setConfiguration(configuration(customers_known::Two), Now);
     const gateway_route Route{.Id = route_id("r")};
-    CPPUNIT_ASSERT(!Gate.admit(keyOf("k1"), Route, Now).Refusal);
+    CPPUNIT_ASSERT(!Gate.admit(key("k1"), Route, Now).Refusal);
     auto Next = std::make_shared<gateway_configuration>();
-    Next->Customers = std::make_shared<const customer_directory>(
-        std::vector<customer>{{.Name = customer_id("state"),
-                               .Keys = {key_digest::of("k1")},
-                               .Priority = {},
-                               .Allowance = {}}});
+    Next->Customers = directoryOf({customerOf("state", {"k1"})});
     Gate.setConfiguration(Next, Now);
-    CPPUNIT_ASSERT(Gate.admit(keyOf("k1"), Route, Now).Customer->Name ==
+    CPPUNIT_ASSERT(Gate.admit(key("k1"), Route, Now).Customer->Name ==
                    customer_id("state"));
     for (const char *Withdrawn : {"k2", "k3"})
       CPPUNIT_ASSERT_MESSAGE(Withdrawn,
-                             Gate.admit(keyOf(Withdrawn), Route, Now).Refusal ==
+                             Gate.admit(key(Withdrawn), Route, Now).Refusal ==
                                  refusal_reason::Unauthenticated);
   }
 };
--- a/modules/bw_gateway/engine/customer_requests_test.cpp
+++ b/modules/bw_gateway/engine/customer_requests_test.cpp
@@ -1,12 +1,9 @@
 // Tests the engine's decisions on requests of customers.
 
-#include "bw_gateway/engine/gateway_engine.h"
-
-#include "bw_testing/runner/test_seed.h"
-
-#include <cppunit/extensions/HelperMacros.h>
+#include "bw_gateway/engine/engine_fixture_test.h"
 
 using namespace bw;
+using namespace bw::engine_test;
 using namespace std::chrono_literals;
 
 namespace {
@@ -59,17 +56,13 @@
   Result->Routes = {route("/own/", false), route("/open/", true)};
   if (Name == nullptr)
     return {Result};
-  Result->Customers = std::make_shared<const customer_directory>(
-      std::vector<customer>{{.Name = customer_id(Name),
-                             .Keys = {key_digest::of(Key)},
-                             .Priority = {},
-                             .Allowance = {}}});
+  Result->Customers = directoryOf({customerOf(Name, {Key})});
   return {Result};
 }
 
 } // namespace
 
-class customer_requests_test : public CppUnit::TestFixture {
+class customer_requests_test : public engine_fixture {
   CPPUNIT_TEST_SUITE(customer_requests_test);
   CPPUNIT_TEST(withoutConfigurationNobodyIsUnauthenticated);
   CPPUNIT_TEST(unknownKeysReachNoServer);
@@ -188,48 +181,18 @@
 private:
   void configure(const char *Key) {
     handle(configuration(1, Key));
-    servers_listed Servers{.Revision = store_revision(1)};
-    for (const char *Name : {"s1", "s2", "s3"})
-      Servers.Servers.push_back({.Server = backend_server_id(Name),
-                                 .Service = service_id("diary"),
-                                 .DataCentre = data_centre_id("near"),
-                                 .Address = server_address("10.0.0.1:80"),
-                                 .Slots = slot_count(4)});
-    handle(Servers);
-  }
-
-  gateway_engine::commands handle(const gateway_event &Event) {
-    gateway_engine::commands Out;
-    Engine->handle(Event, Now, Out);
-    return Out;
+    handle(serversOf(service_id("diary"), 3));
   }
 
   gateway_engine::commands arrive(const std::string &Path,
                                   const std::string &Key) {
-    LastRequest = LastRequest.next();
-    presented_key Presented;
-    if (!Key.empty())
-      Presented = {.Presence = key_presence::Present,
-                   .Digest = key_digest::of(Key)};
-    return handle(request_arrived{.Request = LastRequest,
-                                  .Label = request_label("label"),
-                                  .VirtualHost = "one.example",
-                                  .Path = Path,
-                                  .CallerTimeout = 8s,
-                                  .Key = Presented});
-  }
-
-  template <typename Command>
-  static Command only(const gateway_engine::commands &Out) {
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Out.size());
-    CPPUNIT_ASSERT(std::holds_alternative<Command>(Out.front()));
-    return std::get<Command>(Out.front());
+    return receive({.Label = request_label("label"),
+                    .Path = Path,
+                    .CallerTimeout = 8s,
+                    .Key = Key.empty() ? presented_key() : key(Key)});
   }
 
-  std::unique_ptr<gateway_engine> Engine;
   std::vector<request_decision> Decisions;
-  time_point Now{100s};
-  request_number LastRequest;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(customer_requests_test);
--- a/modules/bw_gateway/engine/gateway_engine_test.cpp
+++ b/modules/bw_gateway/engine/gateway_engine_test.cpp
@@ -1,13 +1,10 @@
-#include "bw_gateway/engine/gateway_engine.h"
+#include "bw_gateway/engine/engine_fixture_test.h"
 #include "bw_gateway/messages/ring_bounds.h"
 
-#include "bw_testing/runner/test_seed.h"
-
-#include <cppunit/extensions/HelperMacros.h>
-
 #include <set>
 
 using namespace bw;
+using namespace bw::engine_test;
 using namespace std::chrono_literals;
 
 namespace {
@@ -34,18 +31,6 @@
   return Result;
 }
 
-servers_listed servers(int Count) {
-  servers_listed Result{.Revision = store_revision(1)};
-  for (int Index = 0; Index < Count; ++Index)
-    Result.Servers.push_back(
-        {.Server = backend_server_id("server-" + std::to_string(Index)),
-         .Service = Diary,
-         .DataCentre = data_centre_id("near"),
-         .Address = server_address("10.0.0.1:80"),
-         .Slots = slot_count(4)});
-  return Result;
-}
-
 struct retry_case {
   const char *Failure;
   const char *Path;
@@ -82,7 +67,7 @@
 
 } // namespace
 
-class gateway_engine_test : public CppUnit::TestFixture {
+class gateway_engine_test : public engine_fixture {
   CPPUNIT_TEST_SUITE(gateway_engine_test);
   CPPUNIT_TEST(refusesWithoutConfiguration);
   CPPUNIT_TEST(refusesUnknownRoutesAndEmptyServices);
@@ -479,59 +464,20 @@
 private:
   void configure() {
     handle(configuration_read{configuration(1)});
-    handle(servers(5));
+    handle(serversOf(Diary, 5));
     // Each request adds to the retry budget.
     for (int Count = 0; Count < 20; ++Count)
       end(only<start_attempt>(arrive("/read/1")), attempt_outcome::Answered,
           200);
   }
 
-  gateway_engine::commands handle(const gateway_event &Event) {
-    gateway_engine::commands Out;
-    Engine->handle(Event, Now, Out);
-    return Out;
-  }
-
   gateway_engine::commands arrive(const std::string &Path, duration Wait = 8s,
                                   bool IsReplayable = true) {
-    LastRequest = LastRequest.next();
-    return handle(request_arrived{.Request = LastRequest,
-                                  .Label = request_label("label"),
-                                  .VirtualHost = "one.example",
-                                  .Path = Path,
-                                  .CallerTimeout = Wait,
-                                  .IsReplayable = IsReplayable});
+    return receive({.Label = request_label("label"),
+                    .Path = Path,
+                    .CallerTimeout = Wait,
+                    .IsReplayable = IsReplayable});
   }
-
-  gateway_engine::commands end(const start_attempt &Attempt,
-                               attempt_outcome Outcome, int Status = 0) {
-    return handle(attempt_ended{.Request = Attempt.Request,
-                                .Attempt = Attempt.Attempt,
-                                .Outcome = Outcome,
-                                .Status = Status});
-  }
-
-  gateway_engine::commands advance(duration Step) {
-    gateway_engine::commands Out;
-    const time_point Until = Now + Step;
-    while (Engine->nextDue() <= Until) {
-      Now = std::max(Now, Engine->nextDue());
-      Engine->tick(Now, Out);
-    }
-    Now = Until;
-    return Out;
-  }
-
-  template <typename Command>
-  static Command only(const gateway_engine::commands &Out) {
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Out.size());
-    CPPUNIT_ASSERT(std::holds_alternative<Command>(Out.front()));
-    return std::get<Command>(Out.front());
-  }
-
-  std::unique_ptr<gateway_engine> Engine;
-  time_point Now;
-  request_number LastRequest;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_engine_test);
