Count the windows that the soak checks after a lowered limit

A run in which some host is never seen to have the lowered limit checks the old one only, and its output did not show that. The soak now prints how many windows were checked against a lowered limit, and the checker's test asserts the count for the course with a lowered limit.

--- a/tests/soak/allowance_ledger.cpp
+++ b/tests/soak/allowance_ledger.cpp
@@ -62,11 +62,10 @@
   return Result;
 }
 
-std::optional<double> allowance_ledger::bound(const customer_record &Record,
-                                              time_point End) const {
+std::optional<double> allowance_ledger::bound(
+    const std::vector<customer_allowance> &Allowances) const {
   double Most = 0;
-  for (const customer_allowance &Each :
-       inForce(Record, End - Bounds.Window, End)) {
+  for (const customer_allowance &Each : Allowances) {
     if (!Each.isLimited())
       return std::nullopt;
     Most =
@@ -81,9 +80,19 @@
     std::multiset<time_point> &Ran = Record.Ran;
     for (auto Last = Ran.upper_bound(Record.Checked);
          Last != Ran.end() && *Last <= Until; ++Last) {
-      const std::optional<double> Bound = bound(Record, *Last);
+      const std::vector<customer_allowance> Allowances =
+          inForce(Record, *Last - Bounds.Window, *Last);
+      const std::optional<double> Bound = bound(Allowances);
       if (!Bound)
         continue;
+      const bool IsLowered =
+          std::any_of(Record.Allowances.begin(), Record.Allowances.end(),
+                      [&](const written_allowance &Each) {
+                        const std::optional<double> Earlier =
+                            bound({Each.Allowance});
+                        return Each.At < *Last && Earlier && *Bound < *Earlier;
+                      });
+      LoweredWindows += IsLowered ? 1 : 0;
       const auto First = Ran.upper_bound(*Last - Bounds.Window);
       const auto Runs = std::size_t(std::distance(First, Last)) + 1;
       BusiestWindow = std::max(BusiestWindow, double(Runs) / *Bound);
--- a/tests/soak/allowance_ledger.h
+++ b/tests/soak/allowance_ledger.h
@@ -50,6 +50,8 @@
 
   /// Most runs in any window that was checked, as a share of its bound.
   double busiestWindow() const { return BusiestWindow; }
+  /// Windows checked against a lower bound than an earlier version gave.
+  std::size_t loweredWindows() const { return LoweredWindows; }
 
 private:
   struct written_allowance {
@@ -67,8 +69,8 @@
 
   std::vector<customer_allowance> inForce(const customer_record &Record,
                                           time_point From, time_point To) const;
-  std::optional<double> bound(const customer_record &Record,
-                              time_point End) const;
+  std::optional<double>
+  bound(const std::vector<customer_allowance> &Allowances) const;
   static bool fits(const std::deque<time_point> &Asked,
                    const customer_allowance &Allowance, time_point From,
                    time_point To);
@@ -78,6 +80,7 @@
   std::map<customer_id, customer_record> Customers;
   std::map<config_version, time_point> HeldByAll;
   double BusiestWindow = 0;
+  std::size_t LoweredWindows = 0;
 };
 
 } // namespace bw::soak
--- a/tests/soak/allowance_promises.cpp
+++ b/tests/soak/allowance_promises.cpp
@@ -65,5 +65,6 @@
   const std::lock_guard Guard(Mutex);
   allowance_counts Result = Allowances;
   Result.BusiestWindow = Ledger.busiestWindow();
+  Result.LoweredWindows = Ledger.loweredWindows();
   return Result;
 }
--- a/tests/soak/allowance_promises_test.cpp
+++ b/tests/soak/allowance_promises_test.cpp
@@ -78,6 +78,7 @@
     answer("new", 200, 21s);
     play({"", 28s, 32s, 47, false, true, 1, ""});
     CPPUNIT_ASSERT(found().ends_with("QUOTA "));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(47), Checker->allowances().LoweredWindows);
   }
 
   void countsRefusalsInsideTheAllowance() {
--- a/tests/soak/promise_checker.h
+++ b/tests/soak/promise_checker.h
@@ -92,6 +92,8 @@
   std::size_t RefusedInside = 0;
   /// Most runs in any window, as a share of what its bound allows.
   double BusiestWindow = 0;
+  /// Windows that were checked against a lowered limit.
+  std::size_t LoweredWindows = 0;
 };
 
 /// Holds what callers and backend servers see against the promises, while a
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -143,7 +143,9 @@
             << " answered 429 (" << Result.Allowances.RefusedInside
             << " inside an allowance), busiest window "
             << Result.Allowances.BusiestWindow << " of its bound, "
-            << Result.Violations.size() << " promises broken\n";
+            << Result.Allowances.LoweredWindows
+            << " windows after a lowered limit, " << Result.Violations.size()
+            << " promises broken\n";
   if (Result.Violations.empty())
     return true;
   for (const std::string &Line : Result.Timeline)
