Let hosts know how old the load of other data centres is

Only aggregators receive the summaries of other data centres, so all other hosts took a silent data centre for an idle one, and no route said that its responses are large. Aggregates now name the data centres whose load they include with the age of it, and routes of the kind "download" are marked. The encoding of both between hosts is not part of this commit.

--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -71,6 +71,7 @@
 load_aggregate gateway_engine::takeAggregate(bool WithLoad, time_point Now) {
   load_aggregate Result =
       Pool.exchange().takeAggregate(Pool.ownLoad(), WithLoad);
+  Pool.exchange().addHeard(Result, Now);
   Customers.allowances().addTo(Result, Now);
   return Result;
 }
--- a/modules/bw_gateway/messages/gateway_configuration.h
+++ b/modules/bw_gateway/messages/gateway_configuration.h
@@ -44,6 +44,8 @@
   std::uint32_t Priority = 0;
   /// Requests need no key of a customer.
   bool IsPublic = false;
+  /// Responses are large, so traffic between data centres costs most here.
+  bool IsDownload = false;
 };
 
 /// Size and time limits on requests of callers.
--- a/modules/bw_gateway/messages/gateway_events.h
+++ b/modules/bw_gateway/messages/gateway_events.h
@@ -183,6 +183,12 @@
   std::optional<server_statement> Statement = {};
 };
 
+/// How old the load of another data centre is.
+struct heard_data_centre {
+  data_centre_id DataCentre;
+  duration Age{};
+};
+
 /// Load and outcomes that an aggregator sends to the hosts of its data centre.
 struct load_aggregate {
   /// True when all servers with requests in flight are listed; false when only
@@ -195,6 +201,9 @@
   message_round Round = {};
   /// Only with load, in the first part, and if customers have limits.
   std::optional<demand_totals> Demand = {};
+  /// The other data centres whose load the sums include. Only with load, in the
+  /// first part.
+  std::vector<heard_data_centre> Heard = {};
 };
 
 /// Role of this host in the exchange of load reports.
--- a/modules/bw_gateway/servers/load_exchange.cpp
+++ b/modules/bw_gateway/servers/load_exchange.cpp
@@ -135,6 +135,28 @@
                            : Record.AggregatedLocal + Record.AggregatedRemote;
 }
 
+std::optional<duration>
+load_exchange::summaryAge(const data_centre_id &DataCentre,
+                          time_point Now) const {
+  if (Duty.IsAggregator) {
+    const auto Load = RemoteDataCentres.find(DataCentre);
+    return Load == RemoteDataCentres.end()
+               ? std::nullopt
+               : std::optional(Now - Load->second.At);
+  }
+  const auto Heard = HeardAt.find(DataCentre);
+  return Heard == HeardAt.end() || Now - Heard->second >= ReportTimeout
+             ? std::nullopt
+             : std::optional(Now - Heard->second);
+}
+
+void load_exchange::addHeard(load_aggregate &Aggregate, time_point Now) const {
+  if (!Aggregate.HasLoad)
+    return;
+  for (const auto &[DataCentre, Load] : RemoteDataCentres)
+    Aggregate.Heard.push_back({.DataCentre = DataCentre, .Age = Now - Load.At});
+}
+
 peer_reported load_exchange::takeReport(const load_list &OwnLoad) {
   HasUnreportedFailure = false;
   const report_number Number =
@@ -292,6 +314,8 @@
         IncludedReport = Number;
     }
   }
+  for (const heard_data_centre &Each : Aggregate.Heard)
+    HeardAt[Each.DataCentre] = Now - Each.Age;
   for (const aggregated_load &Each : Aggregate.Servers) {
     record &Record = Records[Each.Server];
     Record.AggregatedLocal = Each.Local;
--- a/modules/bw_gateway/servers/load_exchange.h
+++ b/modules/bw_gateway/servers/load_exchange.h
@@ -39,6 +39,12 @@
 
   /// Returns the known in-flight requests of all other hosts at the server.
   std::uint32_t inFlightElsewhere(const backend_server_id &Server) const;
+  /// Returns the age of the load of another data centre; nothing if it has not
+  /// been received or has expired.
+  std::optional<duration> summaryAge(const data_centre_id &DataCentre,
+                                     time_point Now) const;
+  /// Adds the data centres whose load the aggregate includes, if it has any.
+  void addHeard(load_aggregate &Aggregate, time_point Now) const;
   /// True when an own failure has not been reported to other hosts yet.
   bool hasUnreportedFailure() const { return HasUnreportedFailure; }
   /// True when a host of the data centre has reported requests in flight. Only
@@ -136,6 +142,9 @@
   std::unordered_map<backend_server_id, record> Records;
   std::map<host_id, reported_load> LocalHosts;
   std::map<data_centre_id, reported_load> RemoteDataCentres;
+  /// At hosts that are no aggregators: when the load of other data centres was
+  /// summed up there, by the time of this host.
+  std::map<data_centre_id, time_point> HeardAt;
   std::vector<host_id> LocalSenders;
   /// The last message of this host that may be sent in parts.
   message_round LastRound;
--- a/modules/bw_gateway/servers/load_exchange_test.cpp
+++ b/modules/bw_gateway/servers/load_exchange_test.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(theSecondAggregatorTakesOver);
   CPPUNIT_TEST(silentHostsNoLongerCount);
   CPPUNIT_TEST(removedServersLeaveNoLoad);
+  CPPUNIT_TEST(hostsLearnHowOldTheLoadOfOthersIs);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -115,6 +116,27 @@
     CPPUNIT_ASSERT_EQUAL(0U, Host.inFlightElsewhere(B));
   }
 
+  // Guards against a silent data centre that looks idle at the hosts which do
+  // not receive its summaries themselves.
+  void hostsLearnHowOldTheLoadOfOthersIs() {
+    load_exchange Aggregator(host_id("aggregator"), Near);
+    Aggregator.setDuty(First);
+    load_exchange Host(host_id("self"), Near);
+    Aggregator.receive(load_summary{.DataCentre = Far}, Now);
+    load_aggregate Sums;
+    Aggregator.addHeard(Sums, Now + 300ms);
+    CPPUNIT_ASSERT(!Host.summaryAge(Far, Now));
+    Host.receive(Sums, Now + 310ms);
+    CPPUNIT_ASSERT(*Aggregator.summaryAge(Far, Now + 400ms) == 400ms);
+    CPPUNIT_ASSERT(*Host.summaryAge(Far, Now + 400ms) == 390ms);
+    // An aggregate of a host that does not send ages brings no younger one.
+    Host.receive(load_aggregate{}, Now + 500ms);
+    CPPUNIT_ASSERT(*Host.summaryAge(Far, Now + 500ms) == 490ms);
+    CPPUNIT_ASSERT(!Host.summaryAge(Far, Now + 2s));
+    Aggregator.expire(Now + 2s);
+    CPPUNIT_ASSERT(!Aggregator.summaryAge(Far, Now + 2s));
+  }
+
   // Guards against a part of a long message that replaces the parts before it,
   // and against parts that remain when the next message comes.
   void partsOfAMessageAddUp() {
