--- a/modules/bw_admission/spill/spill_policy.h
+++ b/modules/bw_admission/spill/spill_policy.h
@@ -31,21 +31,27 @@
               std::span<const data_centre_load> Others, bool IsRefused,
               time_point Now);
 
+  /// True if the summary of another data centre is recent enough to count.
+  static bool isHeard(const data_centre_load &Load);
   /// Share of the requests that leaves. That of downloads is smaller because of
   /// their bytes.
   double share(bool IsDownload) const {
     return IsDownload ? DownloadShare : Share;
   }
   /// Returns the data centre for a request that leaves, in proportion to the
-  /// room there; null if there is none. `Fraction` is random in [0, 1).
+  /// room there; null if none is known. `Fraction` is random in [0, 1).
   const data_centre_id *choose(double Fraction) const;
 
 private:
+  /// Sends all requests away.
+  void leave(std::span<const data_centre_load> Others);
   void moveTo(double &Current, double Target, duration Passed) const;
 
   double Share = 0;
   double DownloadShare = 0;
-  /// Free slots of other data centres.
+  /// The parts of `Share` by data centre; empty if all requests leave.
+  std::map<data_centre_id, double> Shares;
+  /// Slots of other data centres that requests of this one may use.
   std::map<data_centre_id, double> Room;
   std::optional<time_point> UpdatedAt;
 };
