Let the choice of server follow the spill policy

Every request weighed a fixed distance against the load of each server, so requests left the data centre, downloads first, while its own servers had room. With the hook server_pool_options::ChooseDataCentre set to makeSpillingChoice(), a request stays unless the share of the policy lets it leave and leaving takes less time; further attempts may leave, silent data centres get nothing while others are usable, and idle ones send summaries. The hook is empty by default. Attempts and response bytes that leave are counted by service and reason.

--- a/modules/bw_forward/servers/server_attempt.h
+++ b/modules/bw_forward/servers/server_attempt.h
@@ -38,6 +38,8 @@
   std::optional<server_statement> Statement;
   /// Body bytes received and not yet relayed to the caller.
   std::string Body;
+  /// All body bytes received so far.
+  std::uint64_t ReceivedBytes = 0;
   /// The whole response was received.
   bool IsComplete = false;
   /// The response was reported to the decide service.
--- a/modules/bw_forward/servers/server_connection.cpp
+++ b/modules/bw_forward/servers/server_connection.cpp
@@ -293,8 +293,10 @@
 }
 
 void server_connection::bodyRead(std::string_view Part) {
-  if (isReceivingAnswer())
-    Attempt->Body.append(Part);
+  if (!isReceivingAnswer())
+    return;
+  Attempt->Body.append(Part);
+  Attempt->ReceivedBytes += Part.size();
 }
 
 void server_connection::responseRead(bool HasMoreBytes) {
--- a/modules/bw_forward/service/forward_service.cpp
+++ b/modules/bw_forward/service/forward_service.cpp
@@ -237,7 +237,8 @@
                                .Outcome = attempt_outcome::Answered,
                                .Status = Attempt.Head.Status,
                                .IsComplete = Attempt.IsComplete,
-                               .Statement = Attempt.Statement});
+                               .Statement = Attempt.Statement,
+                               .Bytes = byte_count(Attempt.ReceivedBytes)});
   }
 
   void attemptFailed(server_attempt &Attempt, attempt_outcome Outcome) {
@@ -252,7 +253,8 @@
     }
     Decide->push(relay_ended{.Request = Attempt.Request,
                              .Attempt = Attempt.Number,
-                             .IsComplete = false});
+                             .IsComplete = false,
+                             .Bytes = byte_count(Attempt.ReceivedBytes)});
     if (Attempt.IsRelaying)
       abort(Attempt);
   }
@@ -318,7 +320,8 @@
   void reportRelayed(const server_attempt &Attempt) {
     Decide->push(relay_ended{.Request = Attempt.Request,
                              .Attempt = Attempt.Number,
-                             .IsComplete = true});
+                             .IsComplete = true,
+                             .Bytes = byte_count(Attempt.ReceivedBytes)});
   }
 
   void relayBody(server_attempt &Attempt) {
--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -53,7 +53,7 @@
 
 gateway_engine::gateway_engine(gateway_engine_options GivenOptions)
     : Options(std::move(GivenOptions)), Random(Options.Seed),
-      Pool(Options.Pool),
+      DepartureRandom(Options.Seed + 2), Pool(Options.Pool),
       Customers(Options.Freshness, {.Self = Options.Pool.Self,
                                     .DataCentre = Options.Pool.OwnDataCentre,
                                     .Bounds = Options.Allowances,
@@ -126,6 +126,7 @@
   Request.Configuration = Configuration;
   Request.Arrived = Now;
   Request.IsReplayable = Event.IsReplayable;
+  Request.DepartureDraw = DepartureRandom.unit();
   Request.Key = Event.Key;
   if (!Configuration)
     return refuse(Found, refusal_reason::NoConfiguration, Now, Out);
@@ -190,7 +191,7 @@
   const work_amount Work = Times.amount(Request.Service, Request.Route->Id);
   const listed_server *Server =
       Pool.take(Request.Service, Request.Tried, IsFinalAttempt, Now, Random,
-                Filter, Work);
+                Filter, Work, departureOf(Request));
   if (Server == nullptr)
     return false;
   const attempt_number Attempt(++Request.Attempts + Request.ConnectFailures);
@@ -200,6 +201,7 @@
                           .Started = Now,
                           .Load = Pool.loadBeforeTake(Server->Server),
                           .Work = Work,
+                          .Departure = Pool.departure(),
                           .IsHedge = Step == request_step::Hedged});
   Out.push_back(
       start_attempt{.Request = Number,
@@ -224,7 +226,8 @@
           .Server = Server->Server,
           .Attempt = Attempt,
           .FailureShare = Pool.failureShare(Server->Server, Now),
-          .EvidenceAge = Pool.evidenceAge(Server->Server, Now)},
+          .EvidenceAge = Pool.evidenceAge(Server->Server, Now),
+          .Departure = Pool.departure()},
          Now);
   return true;
 }
@@ -262,6 +265,7 @@
   const std::optional<attempt> Ended = closeAttempt(Request, Event.Attempt);
   if (!Ended)
     return;
+  reportResponse(Request, *Ended, Event.Bytes);
   double &Declined = DeclinedShares[Request.Service];
   Declined +=
       DeclineSmoothing *
@@ -434,6 +438,8 @@
     return;
   const std::optional<attempt> Ended =
       closeAttempt(Found->second, Event.Attempt);
+  if (Ended)
+    reportResponse(Found->second, *Ended, Event.Bytes);
   if (Ended && !Event.IsComplete)
     Pool.addPathFailure(Ended->Server, Now);
   Out.emplace_back(end_request{Event.Request});
--- a/modules/bw_gateway/engine/gateway_engine.h
+++ b/modules/bw_gateway/engine/gateway_engine.h
@@ -67,6 +67,10 @@
     return Customers.allowances();
   }
   const load_exchange &exchange() const { return Pool.exchange(); }
+  /// True if this host must send summaries even without load.
+  bool needsIdleSummaries() const {
+    return Pool.choosesDataCentre() && exchange().duty().IsFirst;
+  }
 
   std::size_t openRequests() const { return Requests.size(); }
   config_version version() const;
@@ -83,6 +87,8 @@
     /// Load of the server before the attempt.
     server_load Load;
     work_amount Work{1};
+    /// Set if the server is one of another data centre.
+    std::optional<departure_reason> Departure = {};
     /// Slowness was already counted against the server.
     bool IsSlow = false;
     bool IsHedge = false;
@@ -111,6 +117,8 @@
     time_point Arrived;
     time_point Deadline;
     bool IsReplayable = true;
+    /// Decides whether the request leaves the data centre.
+    double DepartureDraw = 0;
     presented_key Key;
     std::optional<forwarded_customer> Customer;
     /// Set if the last attempt was not started because of the key.
@@ -167,6 +175,10 @@
                   time_point Now);
   admission_request admissionOf(request_number Number,
                                 const request_state &Request) const;
+  departure_request departureOf(const request_state &Request) const;
+  /// Reports the bytes of a response that has ended.
+  void reportResponse(const request_state &Request, const attempt &Ended,
+                      byte_count Bytes) const;
   void answered(request_map::iterator Found, const attempt_ended &Event,
                 const attempt &Ended, time_point Now, commands &Out);
   void failed(request_map::iterator Found, const attempt_ended &Event,
@@ -215,6 +227,8 @@
 
   gateway_engine_options Options;
   random_source Random;
+  /// A source of its own, so that the other decisions do not depend on it.
+  random_source DepartureRandom;
   server_pool Pool;
   std::shared_ptr<const gateway_configuration> Configuration;
   host_routes Routes;
--- a/modules/bw_gateway/engine/gateway_log.h
+++ b/modules/bw_gateway/engine/gateway_log.h
@@ -50,13 +50,25 @@
   double FailureShare = 0;
   /// Age of the last outcome behind `FailureShare`, if there is one.
   std::optional<duration> EvidenceAge = {};
+  /// Set if an attempt was started in another data centre.
+  std::optional<departure_reason> Departure = {};
   config_version Version;
 };
 
+/// A response that was received, as a whole or in part.
+struct response_size {
+  service_id Service;
+  /// Set if it came from another data centre.
+  std::optional<departure_reason> Departure;
+  byte_count Body;
+};
+
 /// Callbacks for decisions, called on the engine's thread.
 struct gateway_observer {
   std::function<void(const request_decision &)> OnRequest =
       [](const request_decision &) {};
+  std::function<void(const response_size &)> OnResponse =
+      [](const response_size &) {};
   std::function<void(const pool_change &)> OnServer = [](const pool_change &) {
   };
   std::function<void(config_version Old, config_version New)> OnConfiguration =
--- a/modules/bw_gateway/engine/load_pattern_fleet_test.cpp
+++ b/modules/bw_gateway/engine/load_pattern_fleet_test.cpp
@@ -12,7 +12,6 @@
 
 const service_id Service("service");
 constexpr duration CheckInterval = 50ms;
-constexpr int DataCentreCount = 3;
 constexpr duration CallerTimeout = 8s;
 
 backend_server_id nameOf(int Server) {
@@ -60,8 +59,13 @@
                  .OwnDataCentre = dataCentreOf(Host),
                  .EjectAtFailureShare = Policy.EjectAt,
                  .ProbeShare = Policy.ProbeShare,
-                 .Choose = Policy.Choice()},
-        .QueuesByUrgency = true}));
+                 .Choose = Policy.Choice(),
+                 .ChooseDataCentre = Policy.DataCentreChoice()},
+        .QueuesByUrgency = true,
+        .Observer = {.OnRequest = [this](const request_decision &Each) {
+          if (Each.Departure)
+            ++Result.Departures[*Each.Departure];
+        }}}));
     handle(Host, configuration_read{Configuration});
     handle(Host, List);
     handle(Host, hosts_counted{.Hosts = std::uint32_t(Pattern.Hosts)});
@@ -83,7 +87,8 @@
                               .Timeout = Kind.Timeout,
                               .TargetLatency = Kind.Target,
                               .MaxAttempts = 2,
-                              .Priority = Kind.Priority});
+                              .Priority = Kind.Priority,
+                              .IsDownload = Kind.IsDownload});
   if (Pattern.Customers == 0 || !Pattern.AreCustomersConfigured)
     return Result;
   std::vector<customer> Customers;
@@ -118,6 +123,12 @@
 
 double fleet_simulation::loadFactor() const {
   double Result = Pattern.Load(seconds());
+  if (Pattern.DataCentreLoad) {
+    double Sum = 0;
+    for (int DataCentre = 0; DataCentre < DataCentreCount; ++DataCentre)
+      Sum += Pattern.DataCentreLoad(DataCentre, seconds());
+    Result *= Sum / DataCentreCount;
+  }
   if (Pattern.Customers == 0)
     return Result;
   double Sum = 0;
@@ -159,6 +170,19 @@
   return int(Customer);
 }
 
+int fleet_simulation::drawHost() {
+  for (;;) {
+    const int Host = int(Random.below(std::uint64_t(Pattern.Hosts)));
+    // Accepts the host in proportion to the load of its data centre.
+    constexpr double MaxLoad = 4;
+    if (!Pattern.DataCentreLoad ||
+        Random.chance(
+            Pattern.DataCentreLoad(Host % DataCentreCount, seconds()) /
+            MaxLoad))
+      return Host;
+  }
+}
+
 void fleet_simulation::count(const caller &Caller,
                              int request_counts::*Counter) {
   ++(Result.*Counter);
@@ -172,12 +196,12 @@
                 .Asked = Now,
                 .Kind = 0,
                 .Customer = std::nullopt};
-  const std::uint64_t Host = Random.below(std::uint64_t(Pattern.Hosts));
+  const int Host = drawHost();
   Caller.Kind = drawKind();
   if (Pattern.Customers > 0)
     Caller.Customer = drawCustomer();
   count(Caller, &request_counts::Asked);
-  ask(Caller, int(Host));
+  ask(Caller, Host);
 }
 
 void fleet_simulation::ask(const caller &Caller, int Host) {
@@ -224,6 +248,13 @@
   Request.Attempts[Command.Attempt] = Running;
   const int Server = Indexes.at(Command.Server);
   simulated_server &Target = Servers[std::size_t(Server)];
+  const int From = Host % DataCentreCount;
+  const int To = Server % DataCentreCount;
+  if (From != To) {
+    count(Request.Caller, &request_counts::Left);
+    ++Result.Flows[{From, To, int(seconds())}];
+    Running->Delay = Pattern.RemoteDelay;
+  }
   if (Pattern.IsCut(Host, Server, seconds())) {
     at(Now + 8ms,
        [this, Running] { end(Running, attempt_outcome::Broken, 0); });
@@ -245,7 +276,7 @@
   const double Work = Pattern.WorkSeconds * Running->Work *
                       std::exp(0.5 * Random.normal()) *
                       Pattern.Slowness(Server, seconds());
-  at(Now + (IsFailing ? duration(5ms) : fromSeconds(Work)),
+  at(Now + (IsFailing ? duration(5ms) : fromSeconds(Work)) + Running->Delay,
      [this, Server, Running, IsFailing] {
        simulated_server &Done = Servers[std::size_t(Server)];
        --Done.Busy;
@@ -296,9 +327,7 @@
   if (!Pattern.CallersComeBack || !Command.RetryAfter ||
       3 * *Command.RetryAfter > TimeLeft)
     return;
-  at(Now + *Command.RetryAfter, [this, Caller] {
-    ask(Caller, int(Random.below(std::uint64_t(Pattern.Hosts))));
-  });
+  at(Now + *Command.RetryAfter, [this, Caller] { ask(Caller, drawHost()); });
 }
 
 // Exchanges reports as the peers duty does. The first host of each data centre
@@ -337,7 +366,8 @@
       continue;
     const load_summary Summary = Engine.takeSummary(SummaryDue, Now);
     for (int To = 0; To < DataCentreCount; ++To)
-      if (To != From)
+      if (To != From && !Pattern.IsSilent(From, seconds()) &&
+          !Pattern.IsSilent(To, seconds()))
         handle(To, Summary);
   }
 }
@@ -345,6 +375,10 @@
 const policy load_pattern::Detecting{
     .Choice = [] { return chooseByExpectedDelay; }};
 
+const policy load_pattern::Spilling{
+    .Choice = [] { return chooseByExpectedDelay; },
+    .DataCentreChoice = makeSpillingChoice};
+
 fleet_result load_pattern::simulate(const fleet_pattern &Pattern,
                                     const policy &Policy) {
   return fleet_simulation(Pattern, Policy).run();
--- a/modules/bw_gateway/engine/load_pattern_fleet_test.h
+++ b/modules/bw_gateway/engine/load_pattern_fleet_test.h
@@ -30,6 +30,7 @@
   duration Timeout = std::chrono::seconds(4);
   /// Factor on the service time.
   double Work = 1;
+  bool IsDownload = false;
 };
 
 struct fleet_pattern {
@@ -49,6 +50,13 @@
   duration ReportInterval = std::chrono::milliseconds(150);
   /// Factor on the number of requests at the given time.
   std::function<double(double Seconds)> Load = [](double) { return 1.0; };
+  /// Factor on the requests of the callers of one data centre. Empty: 1.
+  std::function<double(int DataCentre, double Seconds)> DataCentreLoad = {};
+  /// Added to the time of a request that leaves its data centre.
+  duration RemoteDelay{};
+  /// True while the hosts of the data centre exchange nothing with others.
+  std::function<bool(int DataCentre, double Seconds)> IsSilent =
+      [](int, double) { return false; };
   /// Number of customers; without any, no request has a key.
   int Customers = 0;
   /// The configuration names the customers.
@@ -80,7 +88,10 @@
   int Asked = 0;
   int Served = 0;
   int InTarget = 0;
+  /// Attempts in another data centre than that of the host.
+  int Left = 0;
 
+  double leftShare() const { return double(Left) / Asked; }
   double servedShare() const { return double(Served) / Asked; }
   double inTargetShare() const { return double(InTarget) / Asked; }
 };
@@ -93,6 +104,14 @@
   int Declined = 0;
   std::map<std::string, request_counts> Kinds;
   std::vector<request_counts> Customers;
+  std::map<departure_reason, int> Departures;
+  /// The same for each second, by data centre of the host and of the server.
+  std::map<std::tuple<int, int, int>, int> Flows;
+
+  int flow(int From, int To, int Second) const {
+    const auto Found = Flows.find({From, To, Second});
+    return Found == Flows.end() ? 0 : Found->second;
+  }
 };
 
 /// How the engines choose servers.
@@ -100,6 +119,9 @@
   std::function<server_choice()> Choice;
   double EjectAt = server_pool_options().EjectAtFailureShare;
   ratio ProbeShare = server_pool_options().ProbeShare;
+  std::function<data_centre_choice()> DataCentreChoice = [] {
+    return data_centre_choice();
+  };
 };
 
 /// Simulates the engines, the servers with their slots and queues, and the
@@ -126,6 +148,7 @@
     int Host = 0;
     start_attempt Attempt;
     double Work = 1;
+    duration Delay{};
     bool IsCancelled = false;
   };
   using running_pointer = std::shared_ptr<running_attempt>;
@@ -155,6 +178,7 @@
   void count(const caller &Caller, int request_counts::*Counter);
   std::size_t drawKind();
   int drawCustomer();
+  int drawHost();
   void handle(int Host, const gateway_event &Event);
   void follow(int Host, const gateway_engine::commands &Out);
   void on(int Host, const start_attempt &Command);
@@ -188,6 +212,9 @@
 
 /// Policy of the gateways.
 extern const policy Detecting;
+/// The same with `makeSpillingChoice()`.
+extern const policy Spilling;
+constexpr int DataCentreCount = 3;
 
 fleet_result simulate(const fleet_pattern &Pattern, const policy &Policy);
 void print(const char *Name, const fleet_result &Result);
--- a/modules/bw_gateway/messages/gateway_events.h
+++ b/modules/bw_gateway/messages/gateway_events.h
@@ -77,6 +77,8 @@
   bool IsComplete = true;
   /// Set if the server itself answered.
   std::optional<server_statement> Statement = {};
+  /// Size of the body if it was received as a whole.
+  byte_count Bytes{};
 };
 
 /// The rest of a relayed answer was received completely, or broke off.
@@ -84,6 +86,8 @@
   request_number Request;
   attempt_number Attempt;
   bool IsComplete = true;
+  /// Received size of the body.
+  byte_count Bytes{};
 };
 
 /// The caller closed its connection before the answer was complete.
--- a/modules/bw_gateway/servers/load_prediction.cpp
+++ b/modules/bw_gateway/servers/load_prediction.cpp
@@ -58,11 +58,17 @@
       Sums.Slots += Each.Slots;
       Sums.Elsewhere += Each.InFlight;
     }
+    // Most requests at a server come from its own data centre.
+    if (Options.ChooseDataCentre)
+      for (std::size_t Index = 0; Index < DataCentres.size(); ++Index)
+        LoadSums[Index].MoreAge = seconds(
+            Exchange.summaryAge(DataCentres[Index], Now).value_or(duration()));
   }
-  const double Age = seconds(LoadAge.at(Now));
+  const double LocalAge = seconds(LoadAge.at(Now));
   for (server_candidate &Each : Candidates) {
     const entry &Entry = Entries[Each.Index];
     if (IsKnown) {
+      const double Age = LocalAge + LoadSums[Entry.DataCentre].MoreAge;
       const load_sums &Sums = LoadSums[Entry.DataCentre];
       const double Mean = Each.Slots * Sums.Elsewhere / Sums.Slots;
       const double Left =
--- a/modules/bw_gateway/servers/server_choices.cpp
+++ b/modules/bw_gateway/servers/server_choices.cpp
@@ -17,6 +17,9 @@
 // Traffic between data centres is costly. Its round trip of 8 ms is small
 // compared with a service time of 100 ms or more.
 constexpr double RemoteWeight = 0.25;
+// Added for responses that are large. They leave when they would otherwise wait
+// for as long as they take.
+constexpr double RemoteDownloadWeight = 1;
 // A failed request costs another attempt, or is lost if it cannot be repeated.
 constexpr double FailureWeight = 2.5;
 constexpr double LostRequestWeight = 16;
@@ -40,6 +43,8 @@
     Delay += ColdWeight;
   if (Candidate.IsRemote)
     Delay += RemoteWeight;
+  if (Candidate.IsRemoteDownload)
+    Delay += RemoteDownloadWeight;
   return Delay +
          (Candidate.IsFinalAttempt ? LostRequestWeight : FailureWeight) *
              std::max(Candidate.FailureShare, MinFailureShare);
--- a/modules/bw_gateway/servers/server_pool.cpp
+++ b/modules/bw_gateway/servers/server_pool.cpp
@@ -189,7 +189,8 @@
                                ? Options.LateUseInterval
                                : Options.UseInterval;
     const duration UnusedFor = Now - Entries[Each.Index].UsedAt;
-    if (UnusedFor < After || Each.FailureShare >= MaxFailureShare)
+    if (UnusedFor < After || Each.FailureShare >= MaxFailureShare ||
+        !mayBeUnused(Each))
       continue;
     // The rate grows with the time, so that no server waits for long by chance.
     const double Lateness = std::min(MaxLateness, double(UnusedFor.count()) /
@@ -219,8 +220,9 @@
 server_pool::chooseProbe(random_source &Random,
                          const server_filter &Filter) const {
   const auto IsSuspect = [&](const server_candidate &Each) {
+    // Those of other data centres are probed by the hosts there.
     return Each.FailureShare >= SuspectFailureShare &&
-           (!Filter || Filter(Each));
+           Each.Rank == data_centre_rank::Chosen && (!Filter || Filter(Each));
   };
   const auto Count = static_cast<std::uint64_t>(
       std::count_if(Candidates.begin(), Candidates.end(), IsSuspect));
@@ -312,8 +314,10 @@
 server_pool::take(const service_id &Service,
                   std::span<const backend_server_id> Excluded,
                   bool IsFinalAttempt, time_point Now, random_source &Random,
-                  const server_filter &Filter, work_amount Work) {
+                  const server_filter &Filter, work_amount Work,
+                  const departure_request &Departing) {
   WasFull = false;
+  Departure.reset();
   Exchange.expire(Now);
   if (OutageEnd)
     removeMissing(Now, Changes);
@@ -321,13 +325,19 @@
   predictLoad(Service, Now);
   if (Candidates.empty())
     return nullptr;
+  rankCandidates(Service, Departing, Now);
   if (const auto Found = chooseUnused(Service, IsFinalAttempt, Now, Random))
-    return &use(Entries[*Found], Work, Now);
+    return &use(Entries[*Found], Work, departure_reason::Probe, Now);
   if (!IsFinalAttempt)
     if (const auto Probe = chooseProbe(Random, Filter))
-      return &use(Entries[*Probe], Work, Now);
+      return &use(Entries[*Probe], Work, departure_reason::Probe, Now);
   // Servers already tried for this request count as usable for the floor.
   ejectFailing(Candidates.size() + Excluded.size(), Now);
+  const departure_reason Reason = departureReason(Departing);
+  if (choosesDataCentre()) {
+    demoteFailing();
+    keepRanks(lowestRank());
+  }
   // Filtered last: while the sound servers are full, requests must not go to
   // those that are ejected because they fail at once and so always have room.
   if (Filter)
@@ -337,11 +347,13 @@
   if (WasFull)
     return nullptr;
   return &use(Entries[Candidates[Options.Choose(Candidates, Random)].Index],
-              Work, Now);
+              Work, Reason, Now);
 }
 
 const listed_server &server_pool::use(entry &Entry, work_amount Work,
-                                      time_point Now) {
+                                      departure_reason Reason, time_point Now) {
+  if (Entry.Server.DataCentre != Options.OwnDataCentre)
+    Departure = Reason;
   ++Entry.OwnInFlight;
   ++OwnInFlight[Entry.Server.Service];
   Entry.OwnWork += Work.value();
--- a/modules/bw_gateway/servers/server_pool.h
+++ b/modules/bw_gateway/servers/server_pool.h
@@ -6,6 +6,7 @@
 #include "bw_core/ids/units.h"
 #include "bw_core/random/random_source.h"
 #include "bw_gateway/messages/gateway_events.h"
+#include "bw_gateway/servers/data_centre_choice.h"
 #include "bw_gateway/servers/load_age.h"
 #include "bw_gateway/servers/load_exchange.h"
 #include "bw_gateway/servers/server_evidence.h"
@@ -36,9 +37,12 @@
   double Slowness = 1;
   double FailureShare = 0;
   bool IsRemote = false;
+  /// The server is remote and its response large, where that is considered.
+  bool IsRemoteDownload = false;
   bool IsCold = false;
   /// The request cannot be retried at another server after a failure.
   bool IsFinalAttempt = false;
+  data_centre_rank Rank = data_centre_rank::Chosen;
 };
 
 /// Selection policy. Returns the position of the chosen candidate in the span,
@@ -83,6 +87,9 @@
   /// interval has passed; the rate grows with the square of the unused time.
   double UseRate = 10;
   server_choice Choose = chooseByExpectedDelay;
+  /// Which data centres may get a request, for example `makeSpillingChoice()`.
+  /// Empty: all of them, and `Choose` weighs the distance.
+  data_centre_choice ChooseDataCentre = {};
 };
 
 /// Change of a server's state, for the log.
@@ -142,7 +149,16 @@
   const listed_server *
   take(const service_id &Service, std::span<const backend_server_id> Excluded,
        bool IsFinalAttempt, time_point Now, random_source &Random,
-       const server_filter &Filter = {}, work_amount Work = work_amount(1));
+       const server_filter &Filter = {}, work_amount Work = work_amount(1),
+       const departure_request &Departing = {});
+  /// Returns why the server that `take` has just returned is one of another
+  /// data centre; nothing if it is not.
+  std::optional<departure_reason> departure() const { return Departure; }
+  /// True if requests are assigned to data centres. These must then hear from
+  /// each other while they are idle, too.
+  bool choosesDataCentre() const {
+    return Options.ChooseDataCentre && DataCentres.size() > 1;
+  }
   /// Returns the known load of the usable servers of a service.
   service_load load(const service_id &Service, time_point Now) const;
   /// Returns this host's requests in flight at the servers of a service.
@@ -268,6 +284,19 @@
   /// Returns the index of a random suspected candidate, if there is any.
   std::optional<std::uint32_t> chooseProbe(random_source &Random,
                                            const server_filter &Filter) const;
+  const data_centre_loads &dataCentreLoads(const service_id &Service,
+                                           time_point Now);
+  /// Sets the ranks of the candidates by their data centres.
+  void rankCandidates(const service_id &Service,
+                      const departure_request &Request, time_point Now);
+  departure_reason departureReason(const departure_request &Request) const;
+  /// True if the candidate may get a request because no host uses it.
+  bool mayBeUnused(const server_candidate &Candidate) const;
+  /// Keeps no request at servers that fail while others are usable.
+  void demoteFailing();
+  data_centre_rank lowestRank() const;
+  /// Removes the candidates of higher ranks.
+  void keepRanks(data_centre_rank Highest);
   /// Replaces the known load of other hosts by what is expected of it now.
   void predictLoad(const service_id &Service, time_point Now);
   std::uint32_t dataCentreIndex(const data_centre_id &DataCentre);
@@ -276,7 +305,8 @@
   void setEjected(entry &Entry, bool Ejected, double FailureShare,
                   time_point Now);
   /// Counts a request of this host as in flight at the server.
-  const listed_server &use(entry &Entry, work_amount Work, time_point Now);
+  const listed_server &use(entry &Entry, work_amount Work,
+                           departure_reason Reason, time_point Now);
   /// Records that a host uses the server.
   void recordUse(const backend_server_id &Server, time_point Now);
   void reportUnused(entry &Entry, time_point Now);
@@ -310,8 +340,17 @@
   struct load_sums {
     double Slots = 0;
     double Elsewhere = 0;
+    /// By how much the load of other data centres is older, in seconds.
+    double MoreAge = 0;
   };
   std::vector<load_sums> LoadSums;
+  /// Load of the data centres, computed anew from time to time.
+  struct known_loads {
+    data_centre_loads Loads;
+    time_point At{};
+  };
+  std::unordered_map<service_id, known_loads> KnownLoads;
+  std::optional<departure_reason> Departure;
   load_age LoadAge;
   hosts_counted Hosts;
   /// Time between the last two requests of the service and kind in question.
--- a/modules/bw_gateway/servers/server_pool_test.cpp
+++ b/modules/bw_gateway/servers/server_pool_test.cpp
@@ -63,6 +63,8 @@
   CPPUNIT_TEST(overloadOfAllEjectsNone);
   CPPUNIT_TEST(ownPathFailureHasLittleWeightElsewhere);
   CPPUNIT_TEST(staysInTheDataCentreWhileThereIsRoom);
+  CPPUNIT_TEST(spillingKeepsRequestsUntilNoServerIsUsable);
+  CPPUNIT_TEST(spillingChangesNothingInOneDataCentre);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -125,6 +127,56 @@
     CPPUNIT_ASSERT(Changes.front().Kind == pool_change::kind::Restarted);
   }
 
+  // Guards against a request that leaves while its draw says that it stays,
+  // against one that fails as its data centre has no usable server, and against
+  // a retry that must stay where the attempt before it failed.
+  void spillingKeepsRequestsUntilNoServerIsUsable() {
+    server_pool Spilling({.Self = host_id("self"),
+                          .OwnDataCentre = Near,
+                          .ChooseDataCentre = makeSpillingChoice()});
+    Spilling.exchange().setDuty({.IsAggregator = true});
+    Spilling.summaryReported(load_summary{.DataCentre = Far}, Now);
+    const auto Take = [&](bool IsFurther) {
+      return Spilling
+          .take(Diary, {}, true, Now, Random, {}, work_amount(1),
+                {.Draw = 0.99, .IsFurtherAttempt = IsFurther})
+          ->Server.value();
+    };
+    Spilling.update(list(1, {server("a"), server("b", Far, 50),
+                             server("c", data_centre_id("unheard"), 50)}),
+                    Now);
+    for (int Count = 0; Count < 10; ++Count)
+      CPPUNIT_ASSERT_EQUAL(std::string("a"), Take(false));
+    CPPUNIT_ASSERT(!Spilling.departure());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), Take(true));
+    CPPUNIT_ASSERT(Spilling.departure() == departure_reason::Retry);
+    Now += 100ms;
+    Spilling.update(list(2, {server("b", Far, 50),
+                             server("c", data_centre_id("unheard"), 50)}),
+                    Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), Take(false));
+    CPPUNIT_ASSERT(Spilling.departure() == departure_reason::NoLocalServer);
+    Spilling.update(list(3, {server("c", data_centre_id("unheard"), 50)}), Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), Take(false));
+  }
+
+  // Guards against a deployment with one data centre that chooses differently.
+  void spillingChangesNothingInOneDataCentre() {
+    server_pool Spilling({.Self = host_id("self"),
+                          .OwnDataCentre = Near,
+                          .ChooseDataCentre = makeSpillingChoice()});
+    server_pool Plain({.Self = host_id("self"), .OwnDataCentre = Near});
+    random_source Same = Random;
+    for (server_pool *Each : {&Spilling, &Plain}) {
+      Each->update(list(1, numberedServers(5)), Now);
+      Each->addEvidence(backend_server_id("2"), 0, 2, Now);
+    }
+    for (int Count = 0; Count < 50; ++Count, Now += 50ms)
+      CPPUNIT_ASSERT(
+          Spilling.take(Diary, {}, Count % 2 == 0, Now, Random)->Server ==
+          Plain.take(Diary, {}, Count % 2 == 0, Now, Same)->Server);
+  }
+
   // Guards against a retry at the server that just failed.
   void triedServersAreNotTakenAgain() {
     Pool.update(list(1, {server("a"), server("b")}), Now);
--- a/modules/bw_gateway_daemon/decide/gateway_decide_service.cpp
+++ b/modules/bw_gateway_daemon/decide/gateway_decide_service.cpp
@@ -56,8 +56,9 @@
   if (hasLoad() || HasReportedLoad)
     return LastReport + ReportInterval;
   // Without reports of idle hosts, the others would take them for unreachable,
-  // and they would not know their shares when requests come.
-  if (Engine.allowances().isActive())
+  // and they would not know their shares when requests come. Nor would other
+  // data centres send requests to one that has no load.
+  if (Engine.allowances().isActive() || Engine.needsIdleSummaries())
     return LastReport + IdleInterval;
   return time_point::max();
 }
--- a/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
+++ b/modules/bw_gateway_daemon/metrics/gateway_metrics.cpp
@@ -9,6 +9,9 @@
 const std::string UnauthenticatedRequests =
     "bramleywinch_unauthenticated_total";
 const std::string Attempts = "bramleywinch_attempts_total";
+const std::string Departures = "bramleywinch_departed_attempts_total";
+const std::string ResponseBytes = "bramleywinch_response_bytes_total";
+const std::string DepartedBytes = "bramleywinch_departed_bytes_total";
 const std::string FailedAttempts = "bramleywinch_failed_attempts_total";
 const std::string ServerChanges = "bramleywinch_server_changes_total";
 const std::string ConfigurationChanges =
@@ -46,6 +49,26 @@
   return "";
 }
 
+void countDeparture(metric_registry &Metrics,
+                    const request_decision &Decision) {
+  if (Decision.Departure)
+    Metrics.count(
+        Departures,
+        {{"service", Decision.Service.value()},
+         {"reason", std::string(departureName(*Decision.Departure))}});
+}
+
+void countResponse(metric_registry &Metrics, const response_size &Response) {
+  const auto Bytes = static_cast<double>(Response.Body.value());
+  const std::string &Service = Response.Service.value();
+  Metrics.count(ResponseBytes, {{"service", Service}}, Bytes);
+  if (Response.Departure)
+    Metrics.count(DepartedBytes,
+                  {{"service", Service},
+                   {"reason", std::string(departureName(*Response.Departure))}},
+                  Bytes);
+}
+
 void countRequest(metric_registry &Metrics, const request_decision &Decision) {
   const std::string &Service = Decision.Service.value();
   switch (Decision.Step) {
@@ -100,6 +123,11 @@
   return {.OnRequest =
               [&Metrics](const request_decision &Decision) {
                 countRequest(Metrics, Decision);
+                countDeparture(Metrics, Decision);
+              },
+          .OnResponse =
+              [&Metrics](const response_size &Response) {
+                countResponse(Metrics, Response);
               },
           .OnServer =
               [&Metrics](const pool_change &Change) {
@@ -136,6 +164,12 @@
             A(Decision);
             B(Decision);
           },
+      .OnResponse =
+          [A = First.OnResponse,
+           B = Second.OnResponse](const response_size &Response) {
+            A(Response);
+            B(Response);
+          },
       .OnServer =
           [A = First.OnServer, B = Second.OnServer](const pool_change &Change) {
             A(Change);
@@ -197,6 +231,11 @@
   Metrics.describe(UnauthenticatedRequests,
                    "Refused keys; present: no customer has the key.");
   Metrics.describe(Attempts, "Requests sent to servers by cause.");
+  Metrics.describe(Departures,
+                   "Requests sent to another data centre by reason.");
+  Metrics.describe(ResponseBytes, "Bytes of response bodies of servers.");
+  Metrics.describe(DepartedBytes,
+                   "Those of servers of another data centre by reason.");
   Metrics.describe(FailedAttempts, "Attempts without a usable answer.");
   Metrics.describe(ServerChanges, "Changes of what is known of servers.");
   Metrics.describe(ConfigurationChanges, "Configurations put in force.");
--- a/modules/bw_gateway_fleet/fleet/fleet_options.h
+++ b/modules/bw_gateway_fleet/fleet/fleet_options.h
@@ -3,10 +3,12 @@
 
 #include "bw_core/ids/time.h"
 #include "bw_core/ids/units.h"
+#include "bw_gateway/servers/data_centre_choice.h"
 #include "bw_simulation/links/link_model.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <vector>
 
 namespace bw {
@@ -53,6 +55,10 @@
   std::vector<fleet_fault> Faults = {};
   /// The floor that the gateways are given and that is checked.
   ratio FloorShare{0.7};
+  /// Makes the choice of the data centre for each host.
+  std::function<data_centre_choice()> DataCentreChoice = [] {
+    return data_centre_choice();
+  };
 };
 
 /// The smaller service of the same site: few servers, little traffic, and all
--- a/modules/bw_gateway_fleet/fleet/gateway_fleet.cpp
+++ b/modules/bw_gateway_fleet/fleet/gateway_fleet.cpp
@@ -18,6 +18,7 @@
 constexpr time_point StartTime{100s};
 // Intervals of the decide service.
 constexpr duration ReportInterval = 80ms;
+constexpr duration IdleInterval = 600ms;
 constexpr duration UrgentInterval = 40ms;
 constexpr duration SummaryInterval = 300ms;
 constexpr duration ExchangeCheckInterval = 20ms;
@@ -111,12 +112,13 @@
   ++Host.Start;
   Host.TimerAt = time_point::max();
   Host.HasReportedLoad = false;
-  Host.Engine = std::make_unique<gateway_engine>(
-      gateway_engine_options{.Seed = Random.next(),
-                             .Pool = {.Self = Links.host(Index),
-                                      .OwnDataCentre = Links.dataCentre(Index),
-                                      .FloorShare = Options.FloorShare},
-                             .RetrySlack = 170});
+  Host.Engine = std::make_unique<gateway_engine>(gateway_engine_options{
+      .Seed = Random.next(),
+      .Pool = {.Self = Links.host(Index),
+               .OwnDataCentre = Links.dataCentre(Index),
+               .FloorShare = Options.FloorShare,
+               .ChooseDataCentre = Options.DataCentreChoice()},
+      .RetrySlack = 170});
   handle(Index, configuration_read{Configuration});
   handle(Index, hosts_counted{
                     .Hosts = static_cast<std::uint32_t>(Hosts.size()),
@@ -249,7 +251,9 @@
   const bool IsDue = IsUrgent ? Now - Host.LastReport >= UrgentInterval
                               : (HasLoad || Host.HasReportedLoad) &&
                                     Now - Host.LastReport >= ReportInterval;
-  if (!IsDue)
+  const bool IsIdleDue = Host.Engine->needsIdleSummaries() &&
+                         Now - Host.LastReport >= IdleInterval;
+  if (!IsDue && !IsIdleDue)
     return;
   Host.HasReportedLoad = HasLoad;
   Host.LastReport = Now;
