Test the counts of requests that leave the data centre

The counters of attempts and bytes that leave had no test, so a reason or a size could have been lost without notice. The test checks them by service and reason through a combined observer.

--- a/modules/bw_gateway_daemon/metrics/gateway_metrics_test.cpp
+++ b/modules/bw_gateway_daemon/metrics/gateway_metrics_test.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(gateway_metrics_test);
   CPPUNIT_TEST(budgetsAreShown);
   CPPUNIT_TEST(closedCallersAreCountedByReason);
+  CPPUNIT_TEST(whatLeavesIsCountedByReason);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -44,6 +45,30 @@
     CPPUNIT_ASSERT(isShown("callers_closed{reason=\"no_room\"} 0"));
   }
 
+  // Guards against a cost of traffic between data centres that nobody sees.
+  void whatLeavesIsCountedByReason() {
+    metric_registry Metrics;
+    const gateway_observer Observer =
+        combineObservers({}, makeDecisionMetrics(Metrics));
+    const service_id Service("s");
+    Observer.OnRequest({.Service = Service});
+    Observer.OnRequest({.Step = request_step::Retried,
+                        .Service = Service,
+                        .Departure = departure_reason::Retry});
+    Observer.OnResponse({.Service = Service, .Body = byte_count(40)});
+    Observer.OnResponse({.Service = Service,
+                         .Departure = departure_reason::NoLocalServer,
+                         .Body = byte_count(2)});
+    const std::string Text = Metrics.text();
+    for (const char *Line :
+         {"departed_attempts_total{reason=\"retry\",service=\"s\"} 1",
+          "response_bytes_total{service=\"s\"} 42",
+          "departed_bytes_total{reason=\"no_local_server\",service=\"s\"} 2"})
+      CPPUNIT_ASSERT_MESSAGE(
+          Line, Text.find("bramleywinch_" + std::string(Line) + "\n") !=
+                    std::string::npos);
+  }
+
 private:
   bool isShown(const std::string &Line) {
     metric_registry Metrics;
