Encode the age of the load of other data centres and the mark of downloads

Hosts that are not aggregators, and those that fetch the configuration from another host, did not get either. Both are new fields with new numbers, so messages of older hosts decode as before and then name no data centre.

--- a/modules/bw_gateway_daemon/peers/exchange_messages.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_messages.cpp
@@ -61,6 +61,7 @@
   Result.set_max_attempts(Route.MaxAttempts);
   Result.set_priority(Route.Priority);
   Result.set_is_public(Route.IsPublic);
+  Result.set_is_download(Route.IsDownload);
   return Result;
 }
 
@@ -122,6 +123,11 @@
     Included->set_host(Host.value());
     Included->set_number(Number.value());
   }
+  for (const heard_data_centre &Each : Aggregate.Heard) {
+    auto *Heard = Result.add_heard_data_centres();
+    Heard->set_data_centre(Each.DataCentre.value());
+    Heard->set_age(milliseconds(Each.Age));
+  }
   if (Aggregate.Demand)
     encodeDemandTotals(*Aggregate.Demand, *Result.mutable_demand_totals());
 }
@@ -136,6 +142,9 @@
   for (const auto &Each : Report.included())
     Result.Included.emplace_back(host_id(Each.host()),
                                  report_number(Each.number()));
+  for (const auto &Each : Report.heard_data_centres())
+    Result.Heard.push_back({.DataCentre = data_centre_id(Each.data_centre()),
+                            .Age = decodeAge(Each.age())});
   for (const auto &Each : Report.aggregate()) {
     checkOutcomes(Each.good(), Each.bad());
     Result.Servers.push_back({.Server = backend_server_id(Each.server()),
@@ -160,7 +169,8 @@
       .TargetLatency = optionalDuration(Route.target_latency()),
       .MaxAttempts = Route.max_attempts(),
       .Priority = Route.priority(),
-      .IsPublic = Route.is_public()};
+      .IsPublic = Route.is_public(),
+      .IsDownload = Route.is_download()};
   for (const auto &Each : Route.destinations())
     Result.Destinations.push_back(
         {.Service = service_id(Each.service()), .Weight = Each.weight()});
@@ -256,6 +266,8 @@
   std::size_t Included = 0;
   for (const auto &[Host, Number] : Whole.Included)
     Included += MaxEntryBytes + Host.value().size();
+  for (const heard_data_centre &Each : Whole.Heard)
+    Included += MaxEntryBytes + Each.DataCentre.value().size();
   if (Whole.Demand)
     Included += encodedSize(*Whole.Demand);
   return splitByServers(std::move(Whole), MaxBytes.value(), Included);
--- a/modules/bw_gateway_daemon/peers/exchange_messages_test.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_messages_test.cpp
@@ -141,7 +141,8 @@
                               .Bad = 0.25,
                               .Statement =
                                   server_statement{.IsLeaving = true}}},
-                 .Included = {{host_id("h2"), report_number(3)}}},
+                 .Included = {{host_id("h2"), report_number(3)}},
+                 .Heard = {{data_centre_id("b"), 340ms}}},
          .State = {}}));
     CPPUNIT_ASSERT(Got.Aggregate && !Got.Observations.HasLoad);
     const aggregated_load &Server = Got.Aggregate->Servers.at(0);
@@ -149,6 +150,9 @@
     CPPUNIT_ASSERT(Server.Good == 2 && Server.Bad == 0.25);
     CPPUNIT_ASSERT(Got.Aggregate->Included.at(0).first == host_id("h2"));
     CPPUNIT_ASSERT(Got.Aggregate->Included[0].second == report_number(3));
+    CPPUNIT_ASSERT(Got.Aggregate->Heard.at(0).DataCentre ==
+                   data_centre_id("b"));
+    CPPUNIT_ASSERT(Got.Aggregate->Heard[0].Age == 340ms);
   }
 
   // Guards against messages that no datagram can carry: the system would refuse
@@ -240,7 +244,8 @@
              .Timeout = std::nullopt,
              .TargetLatency = 1500ms,
              .MaxAttempts = 3,
-             .Priority = 2}}};
+             .Priority = 2,
+             .IsDownload = true}}};
     const auto Got = decodeConfiguration(encodeConfiguration(Configuration));
     const gateway_route &Route = Got->Routes.at(0);
     CPPUNIT_ASSERT(Got->Version == config_version(12));
@@ -249,6 +254,7 @@
     CPPUNIT_ASSERT(Route.Execution == execution_rule::Repeatable);
     CPPUNIT_ASSERT(Route.Destinations.at(0).Weight == 90.5);
     CPPUNIT_ASSERT(Route.MaxAttempts == 3 && Route.Priority == 2);
+    CPPUNIT_ASSERT(Route.IsDownload);
   }
 
   // Guards against foreign or corrupt datagrams that affect decisions.
