Merge the spill policy into the choice of server

The policy decides which requests leave their data centre through the hook `server_pool_options::ChooseDataCentre`, which is off by default.

--- a/modules/bw_gateway/engine/gateway_engine.cpp
+++ b/modules/bw_gateway/engine/gateway_engine.cpp
@@ -53,7 +53,7 @@
 
 gateway_engine::gateway_engine(gateway_engine_options GivenOptions)
     : Options(std::move(GivenOptions)), Random(Options.Seed),
-      Pool(Options.Pool),
+      DepartureRandom(Options.Seed + 2), Pool(Options.Pool),
       Customers(Options.Freshness, {.Self = Options.Pool.Self,
                                     .DataCentre = Options.Pool.OwnDataCentre,
                                     .Bounds = Options.Allowances,
@@ -71,6 +71,7 @@
 load_aggregate gateway_engine::takeAggregate(bool WithLoad, time_point Now) {
   load_aggregate Result =
       Pool.exchange().takeAggregate(Pool.ownLoad(), WithLoad);
+  Pool.exchange().addHeard(Result, Now);
   Customers.allowances().addTo(Result, Now);
   return Result;
 }
@@ -125,6 +126,7 @@
   Request.Configuration = Configuration;
   Request.Arrived = Now;
   Request.IsReplayable = Event.IsReplayable;
+  Request.DepartureDraw = DepartureRandom.unit();
   Request.Key = Event.Key;
   if (!Configuration)
     return refuse(Found, refusal_reason::NoConfiguration, Now, Out);
@@ -189,7 +191,7 @@
   const work_amount Work = Times.amount(Request.Service, Request.Route->Id);
   const listed_server *Server =
       Pool.take(Request.Service, Request.Tried, IsFinalAttempt, Now, Random,
-                Filter, Work);
+                Filter, Work, departureOf(Request));
   if (Server == nullptr)
     return false;
   const attempt_number Attempt(++Request.Attempts + Request.ConnectFailures);
@@ -199,6 +201,7 @@
                           .Started = Now,
                           .Load = Pool.loadBeforeTake(Server->Server),
                           .Work = Work,
+                          .Departure = Pool.departure(),
                           .IsHedge = Step == request_step::Hedged});
   Out.push_back(
       start_attempt{.Request = Number,
@@ -223,7 +226,8 @@
           .Server = Server->Server,
           .Attempt = Attempt,
           .FailureShare = Pool.failureShare(Server->Server, Now),
-          .EvidenceAge = Pool.evidenceAge(Server->Server, Now)},
+          .EvidenceAge = Pool.evidenceAge(Server->Server, Now),
+          .Departure = Pool.departure()},
          Now);
   return true;
 }
@@ -261,6 +265,7 @@
   const std::optional<attempt> Ended = closeAttempt(Request, Event.Attempt);
   if (!Ended)
     return;
+  reportResponse(Request, *Ended, Event.Bytes);
   double &Declined = DeclinedShares[Request.Service];
   Declined +=
       DeclineSmoothing *
@@ -436,6 +441,8 @@
     return;
   const std::optional<attempt> Ended =
       closeAttempt(Found->second, Event.Attempt);
+  if (Ended)
+    reportResponse(Found->second, *Ended, Event.Bytes);
   if (Ended && !Event.IsComplete)
     Pool.addPathFailure(Ended->Server, Now);
   Out.emplace_back(end_request{Event.Request});
