--- a/apps/bramleywinchd/main.cpp
+++ b/apps/bramleywinchd/main.cpp
@@ -10,11 +10,16 @@
 
 #include <csignal>
 #include <iostream>
+#include <malloc.h>
 #include <random>
 #include <unistd.h>
 
 namespace {
 
+// Blocks of this size and more go back to the system when they are freed, so
+// the bodies of many requests leave no holes in the heap.
+constexpr int LargeBlock = 65'536;
+
 std::uint64_t randomNumber() {
   std::random_device Device;
   return (std::uint64_t(Device()) << 32U) | Device();
@@ -65,7 +70,8 @@
   auto &Accept = Kernel.add<bw::accept_service>(
       Clock, bw::accept_service_options{.Address = Settings.Listen.Address,
                                         .Port = Settings.Listen.Port,
-                                        .MaxBody = Settings.MaxBody});
+                                        .MaxBody = Settings.MaxBody,
+                                        .Limits = Settings.Limits});
   Kernel.add<bw::front_desk>(Settings.Operators);
   Kernel.start();
   std::cout << "listening " << Accept.port() << " peers " << Peers.port()
@@ -93,6 +99,7 @@
                    "check the settings and exit without starting");
   CLI11_PARSE(Program, ArgumentCount, Arguments);
 
+  ::mallopt(M_MMAP_THRESHOLD, LargeBlock);
   bw::blockStopSignals();
   bw::startLogging("bramleywinchd");
   try {
--- a/modules/bw_gateway/engine/gateway_engine.h
+++ b/modules/bw_gateway/engine/gateway_engine.h
@@ -67,8 +67,16 @@
     return Customers.allowances();
   }
   const load_exchange &exchange() const { return Pool.exchange(); }
+  /// True if this host must send summaries even without load.
+  bool needsIdleSummaries() const {
+    return Pool.choosesDataCentre() && exchange().duty().IsFirst;
+  }
 
   std::size_t openRequests() const { return Requests.size(); }
+  /// Number of open requests that wait for room and were not sent yet.
+  std::size_t waitingRequests() const { return Waiting.size(); }
+  /// Age of the load of other hosts that decisions use.
+  const load_age &loadAge() const { return Pool.loadAge(); }
   config_version version() const;
   /// Returns the revision of the current server list.
   store_revision listRevision() const { return Pool.revision(); }
@@ -83,6 +91,8 @@
     /// Load of the server before the attempt.
     server_load Load;
     work_amount Work{1};
+    /// Set if the server is one of another data centre.
+    std::optional<departure_reason> Departure = {};
     /// Slowness was already counted against the server.
     bool IsSlow = false;
     bool IsHedge = false;
@@ -111,6 +121,8 @@
     time_point Arrived;
     time_point Deadline;
     bool IsReplayable = true;
+    /// Decides whether the request leaves the data centre.
+    double DepartureDraw = 0;
     presented_key Key;
     std::optional<forwarded_customer> Customer;
     /// Set if the last attempt was not started because of the key.
@@ -167,6 +179,10 @@
                   time_point Now);
   admission_request admissionOf(request_number Number,
                                 const request_state &Request) const;
+  departure_request departureOf(const request_state &Request) const;
+  /// Reports the bytes of a response that has ended.
+  void reportResponse(const request_state &Request, const attempt &Ended,
+                      byte_count Bytes) const;
   void answered(request_map::iterator Found, const attempt_ended &Event,
                 const attempt &Ended, time_point Now, commands &Out);
   void failed(request_map::iterator Found, const attempt_ended &Event,
@@ -209,12 +225,18 @@
                       time_point Now);
   double budgetCapacity() const;
   bool takeHedgeToken(const request_state &Request);
+  /// True if the retry budget of the service is left to more urgent requests.
+  bool leavesTokens(const request_state &Request) const;
+  /// Returns the tokens that a request adds to the retry budget.
+  double tokensPerRequest() const;
   retry_budget &budgetOf(const service_id &Service);
   void report(const request_state &Request, request_decision Decision,
               time_point Now) const;
 
   gateway_engine_options Options;
   random_source Random;
+  /// A source of its own, so that the other decisions do not depend on it.
+  random_source DepartureRandom;
   server_pool Pool;
   std::shared_ptr<const gateway_configuration> Configuration;
   host_routes Routes;
--- a/modules/bw_gateway/messages/gateway_events.h
+++ b/modules/bw_gateway/messages/gateway_events.h
@@ -77,6 +77,8 @@
   bool IsComplete = true;
   /// Set if the server itself answered.
   std::optional<server_statement> Statement = {};
+  /// Size of the body if it was received as a whole.
+  byte_count Bytes{};
 };
 
 /// The rest of a relayed answer was received completely, or broke off.
@@ -84,6 +86,8 @@
   request_number Request;
   attempt_number Attempt;
   bool IsComplete = true;
+  /// Received size of the body.
+  byte_count Bytes{};
 };
 
 /// The caller closed its connection before the answer was complete.
@@ -183,6 +187,12 @@
   std::optional<server_statement> Statement = {};
 };
 
+/// How old the load of another data centre is.
+struct heard_data_centre {
+  data_centre_id DataCentre;
+  duration Age{};
+};
+
 /// Load and outcomes that an aggregator sends to the hosts of its data centre.
 struct load_aggregate {
   /// True when all servers with requests in flight are listed; false when only
@@ -195,6 +205,9 @@
   message_round Round = {};
   /// Only with load, in the first part, and if customers have limits.
   std::optional<demand_totals> Demand = {};
+  /// The other data centres whose load the sums include. Only with load, in the
+  /// first part.
+  std::vector<heard_data_centre> Heard = {};
 };
 
 /// Role of this host in the exchange of load reports.
--- a/modules/bw_gateway_daemon/decide/gateway_decide_service.cpp
+++ b/modules/bw_gateway_daemon/decide/gateway_decide_service.cpp
@@ -45,6 +45,11 @@
   Thread.join();
 }
 
+std::optional<duration> gateway_decide_service::loadAge() const {
+  const time_point At = LoadReportedAt.load();
+  return At == time_point() ? std::nullopt : std::optional(Clock.now() - At);
+}
+
 bool gateway_decide_service::hasLoad() const {
   return Engine.openRequests() > 0 || Engine.exchange().hasLocalLoad() ||
          Engine.allowances().hasDemand(Clock.now());
@@ -56,8 +61,9 @@
   if (hasLoad() || HasReportedLoad)
     return LastReport + ReportInterval;
   // Without reports of idle hosts, the others would take them for unreachable,
-  // and they would not know their shares when requests come.
-  if (Engine.allowances().isActive())
+  // and they would not know their shares when requests come. Nor would other
+  // data centres send requests to one that has no load.
+  if (Engine.allowances().isActive() || Engine.needsIdleSummaries())
     return LastReport + IdleInterval;
   return time_point::max();
 }
@@ -113,6 +119,8 @@
       report(Now);
     Ready = Engine.isReady();
     OpenRequests = Engine.openRequests();
+    WaitingRequests = Engine.waitingRequests();
+    LoadReportedAt = Engine.loadAge().reportedAt().value_or(time_point());
     Version = Engine.version().value();
     for (gateway_command &Command : Out)
       Commands->push(std::move(Command));
