Encode the names of objects in request targets

What callers saw: an entry of another writer, whose name held characters such as &, +, #, % or a blank, stood at the end of a page of the list of instances. After a restart of all hosts almost no request was served.

Cause: the name went into the target of the next page's call as it was. '&' and '#' end the value, so that the store returned the same page again or another one; '+' and '%' decode to another name; a blank makes the target malformed. The read of the list failed each time, and a host without a list has no server to choose.

--- a/modules/bw_http/bw_http.h
+++ b/modules/bw_http/bw_http.h
@@ -10,6 +10,7 @@
 #include "bw_http/client/http_call_session.h"
 #include "bw_http/client/http_client.h"
 #include "bw_http/messages/http_messages.h"
+#include "bw_http/messages/percent_encoding.h"
 #include "bw_http/server/http_exchange.h"
 #include "bw_http/server/http_server.h"
 
--- a/modules/bw_platform/client/platform_client.cpp
+++ b/modules/bw_platform/client/platform_client.cpp
@@ -1,5 +1,7 @@
 #include "bw_platform/client/platform_client.h"
 
+#include "bw_http/messages/percent_encoding.h"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -151,14 +153,15 @@
 list_answer platform_client::list(const std::string &Kind,
                                   const std::string &After,
                                   std::size_t Limit) const {
-  if (!isObjectName(Kind) || (!After.empty() && !isObjectName(After)))
+  if (!isObjectName(Kind))
     throw object_key_error();
-  const auto Result =
-      send({.Url = Options.Url + "/v1/objects/" + Kind + "?after=" + After +
-                   "&limit=" + std::to_string(Limit),
-            .Headers = {},
-            .Body = {},
-            .Timeout = std::chrono::milliseconds(0)});
+  // A list continues after whatever name its last page ended with.
+  const auto Result = send({.Url = Options.Url + "/v1/objects/" + Kind +
+                                   "?after=" + percentEncode(After) +
+                                   "&limit=" + std::to_string(Limit),
+                            .Headers = {},
+                            .Body = {},
+                            .Timeout = std::chrono::milliseconds(0)});
   if (!isComplete(Result) || Result->Response.Status != 200)
     return {};
   try {
