Leave bad entries out of the host list

What callers saw: nothing yet.

Cause: one malformed entry made the whole host list invalid. A daemon that starts while it stands knows no backend server.

Evidence: the decoder's test asserted just that (refusesBadLists): each of its lists with one bad entry was refused. An address such as "127.0.0.1/x?" was accepted, and changed the target of requests.

Why this works: an entry that describes no host or server is left out and logged when the list changes; the others hold. A text that is no list is still refused as a whole. Addresses must be IP addresses or host names, as they become a part of URLs.

The test guarded against routing to half a list.

--- a/modules/bw_daemon/platform/watch_service.cpp
+++ b/modules/bw_daemon/platform/watch_service.cpp
@@ -65,6 +65,8 @@
     if (!Answer->IsUnchanged) {
       HostListTag = std::move(Answer->Tag);
       Hosts = std::move(Answer->Hosts);
+      for (const std::string &Reason : Answer->Malformed)
+        logEvent(log_event::InputMalformed, {{"reason", Reason}});
     }
     NextHostList = Now + RepeatInterval;
     Decide->push(hosts_loaded{Hosts});
--- a/modules/bw_platform/client/platform_client.cpp
+++ b/modules/bw_platform/client/platform_client.cpp
@@ -215,11 +215,13 @@
     return std::nullopt;
   const http_response &Response = Result->Response;
   if (Response.Status == NotModified && !Tag.empty())
-    return host_list_answer{true, Tag, {}};
+    return host_list_answer{.IsUnchanged = true, .Tag = Tag, .Hosts = {}};
   if (Response.Status != 200)
     return std::nullopt;
-  return host_list_answer{false, Response.Headers.find("ETag").value_or(""),
-                          decodeHostList(Response.Body)};
+  host_list List = decodeHostList(Response.Body);
+  return host_list_answer{.Tag = Response.Headers.find("ETag").value_or(""),
+                          .Hosts = std::move(List.Hosts),
+                          .Malformed = std::move(List.Malformed)};
 }
 
 object_store platform_client::objectStore() const {
--- a/modules/bw_platform/client/platform_client.h
+++ b/modules/bw_platform/client/platform_client.h
@@ -31,6 +31,8 @@
   bool IsUnchanged = false;
   std::string Tag;
   std::vector<host_list_entry> Hosts;
+  /// Why other entries were left out.
+  std::vector<std::string> Malformed = {};
 };
 
 /// Blocking client of the platform's object API and host list. Calls may be
--- a/modules/bw_platform/hosts/host_list.cpp
+++ b/modules/bw_platform/hosts/host_list.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cctype>
 #include <set>
 
 using namespace bw;
@@ -31,6 +33,19 @@
     return Text;
   }
 
+  // An IP address or a host name: it becomes a part of URLs.
+  std::string address(const char *Field) const {
+    std::string Text = text(Field);
+    const bool IsAddress =
+        std::all_of(Text.begin(), Text.end(), [](unsigned char Character) {
+          return (Character < 0x80 && std::isalnum(Character) != 0) ||
+                 Character == '.' || Character == '-';
+        });
+    if (!IsAddress)
+      fail(Field, "must be an IP address or a host name");
+    return Text;
+  }
+
   std::uint64_t number(const char *Field, std::uint64_t Least,
                        std::uint64_t Most) const {
     const auto Found = Entry.find(Field);
@@ -65,7 +80,7 @@
   host_list_entry Result;
   Result.Name = Reader.text("name");
   Result.DataCentre = data_centre_id(Reader.text("data_centre"));
-  Result.Address = Reader.text("address");
+  Result.Address = Reader.address("address");
   Result.Port = static_cast<std::uint16_t>(Reader.number("port", 1, 65'535));
   Result.IsLeaving = Reader.choice("state", "live", "leaving");
   if (!Reader.choice("role", "host", "backend_server"))
@@ -94,7 +109,8 @@
 host_list_error::host_list_error(const std::string &Reason)
     : error("host list: " + Reason) {}
 
-std::vector<host_list_entry> bw::decodeHostList(const std::string &Json) {
+// An entry that another writer has spoilt names no host; the others hold.
+host_list bw::decodeHostList(const std::string &Json) {
   const auto Root = nlohmann::json::parse(Json, checkDepth, false);
   if (!Root.is_object() || !Root.contains("hosts") ||
       !Root.at("hosts").is_array())
@@ -102,14 +118,19 @@
   const nlohmann::json &Entries = Root.at("hosts");
   if (Entries.size() > MaxEntries)
     throw host_list_error("has more than 40000 entries");
-  std::vector<host_list_entry> Result;
-  Result.reserve(Entries.size());
+  host_list Result;
+  Result.Hosts.reserve(Entries.size());
   std::set<std::string> Names;
   for (std::size_t Index = 0; Index < Entries.size(); ++Index) {
-    Result.push_back(decodeEntry(Entries[Index], Index));
-    if (!Names.insert(Result.back().Name).second)
-      throw host_list_error("hosts[" + std::to_string(Index) +
-                            "].name: is given twice");
+    try {
+      host_list_entry Entry = decodeEntry(Entries[Index], Index);
+      if (!Names.insert(Entry.Name).second)
+        throw host_list_error("hosts[" + std::to_string(Index) +
+                              "].name: is given twice");
+      Result.Hosts.push_back(std::move(Entry));
+    } catch (const host_list_error &Failure) {
+      Result.Malformed.emplace_back(Failure.what());
+    }
   }
   return Result;
 }
--- a/modules/bw_platform/hosts/host_list.h
+++ b/modules/bw_platform/hosts/host_list.h
@@ -31,17 +31,23 @@
                          const host_list_entry &) = default;
 };
 
-/// A host list that cannot be used, with the entry and the field.
+struct host_list {
+  std::vector<host_list_entry> Hosts;
+  /// Why other entries were left out, with the entry and the field.
+  std::vector<std::string> Malformed;
+};
+
+/// A host list that cannot be used.
 class host_list_error : public error {
 public:
   explicit host_list_error(const std::string &Reason);
   std::string_view code() const override { return "host_list_invalid"; }
 };
 
-/// Decodes the JSON of `GET /v1/hosts`. Unknown fields are left out, since the
-/// platform may add some; a list with a bad entry is refused as a whole.
-/// \throws host_list_error
-std::vector<host_list_entry> decodeHostList(const std::string &Json);
+/// Decodes the JSON of `GET /v1/hosts`. Leaves out unknown fields, since the
+/// platform may add some, and entries that do not describe a host.
+/// \throws host_list_error if the text is no host list
+host_list decodeHostList(const std::string &Json);
 
 } // namespace bw
 
