Export audit segments past objects of other writers

What callers saw: nothing yet.

Cause: an object of the audit kind whose name is no name of this project made the export fail, because its segment could not be read, and a page that ended with it could not be continued.

Evidence: readsPageByPage with five such objects failed before ("the stored object audit/!& cannot be decoded").

Why this works: objects with such names are skipped, and the next page starts behind them. A segment with a name of this project that cannot be decoded still fails the export: it is evidence that must not be dropped silently.

--- a/modules/bw_operations/audit/audit_store.cpp
+++ b/modules/bw_operations/audit/audit_store.cpp
@@ -53,13 +53,25 @@
 
 audit_page audit_store::read(const std::string &After,
                              std::size_t Limit) const {
-  const list_answer Listed = Store.List(Kind, After, Limit);
-  if (Listed.Outcome != read_outcome::Found)
-    throw platform_unavailable_error();
   audit_page Page;
-  for (const listed_object &Each : Listed.Objects)
-    Page.Segments.push_back(readSegment(Store, Each.Name));
-  if (Listed.Objects.size() == Limit && Limit > 0)
-    Page.Next = Listed.Objects.back().Name;
+  std::string Place = After;
+  while (Page.Segments.size() < Limit) {
+    const std::size_t Wanted = Limit - Page.Segments.size();
+    const list_answer Listed = Store.List(Kind, Place, Wanted);
+    if (Listed.Outcome != read_outcome::Found)
+      throw platform_unavailable_error();
+    for (const listed_object &Each : Listed.Objects) {
+      Place = Each.Name;
+      // Other writers' objects hold no segments.
+      if (!isObjectName(Each.Name))
+        continue;
+      Page.Segments.push_back(readSegment(Store, Each.Name));
+      Page.Next = Each.Name;
+    }
+    if (Listed.Objects.size() < Wanted) {
+      Page.Next.clear();
+      break;
+    }
+  }
   return Page;
 }
--- a/modules/bw_operations/audit/audit_test.cpp
+++ b/modules/bw_operations/audit/audit_test.cpp
@@ -193,6 +193,9 @@
   void readsPageByPage() {
     memory_object_store Memory;
     const audit_store Store(Memory.hooks());
+    // Guards against an export that another writer's objects end or fill.
+    for (const char *Name : {"!&", "!&limit=9", "00177 5", "z#", "z%z"})
+      Memory.hooks().Create({"audit", Name}, "x");
     for (std::uint64_t Number = 1; Number <= 5; ++Number) {
       schema::audit_segment Segment;
       Segment.set_collector("h1");
