End no answer by a reset that a write has taken note of

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written. The caller got that part as a complete answer.

Cause: the kernel reports a reset to the first call that meets it. A write that waits for room gets the error, and the read after it sees the end of the connection, as after an orderly close. The connection ignored errors of writes and took the end of the connection for the end of the answer.

Evidence: resetDuringAnUploadEndsNoAnswer failed before (the attempt counted as answered), with a reset and with a close that leaves bytes of the request unread; so did resetDuringAnUploadAbortsARelayedAnswer (the relayed answer counted as complete).

Why this works: a write error is remembered, and at the end of the connection its state is asked for: after an orderly close by the server it waits for this side's close, after a reset or a time-out it is closed. The second question also holds when the error was taken by a write whose result has not been handled yet. So only an orderly close ends an answer without a length.

Already handled, with a test that is kept: an answer that ends in order before the request was read (earlyAnswerThatEndsInOrderIsComplete), and the client of bramleywinchd, in which a write error ends the transfer (resetEndsNoResponse).

Measured: the tests pass; without a length and with an orderly close the answer still counts as complete.

--- a/modules/bw_forward/servers/server_connection.cpp
+++ b/modules/bw_forward/servers/server_connection.cpp
@@ -139,8 +139,9 @@
 void server_connection::written(asio::error_code Code) {
   IsWriting = false;
   std::string().swap(Writing);
-  // Ignores a write error, as the response may already have arrived; the read
-  // side reports the end of the connection.
+  HasWriteFailed = HasWriteFailed || Code;
+  // Does not end the attempt, as the response may already have arrived; the
+  // read side reports the end of the connection.
   if (Code || !IsOpen || !Attempt)
     return;
   if (!IsRequestWritten) {
@@ -333,11 +334,21 @@
   }
 }
 
-// Handles an orderly close by the server, which ends a response without a
-// length.
+// The kernel reports the reset of a connection once: if a write takes the
+// error, a read sees what looks like an orderly close.
+bool server_connection::wasReset() {
+  tcp_info Info{};
+  socklen_t Size = sizeof Info;
+  const bool IsKnown = ::getsockopt(Socket.native_handle(), IPPROTO_TCP,
+                                    TCP_INFO, &Info, &Size) == 0;
+  // After an orderly close by the server, the state is TCP_CLOSE_WAIT.
+  return HasWriteFailed || (IsKnown && Info.tcpi_state == TCP_CLOSE);
+}
+
+// Only an orderly close by the server ends a response without a length.
 void server_connection::peerClosed() {
   IsReusable = false;
-  if (Parser.finish() == parse_status::Complete) {
+  if (!wasReset() && Parser.finish() == parse_status::Complete) {
     responseRead(false);
     if (Attempt)
       fail(attempt_outcome::Broken);
--- a/modules/bw_forward/servers/server_connection.h
+++ b/modules/bw_forward/servers/server_connection.h
@@ -119,6 +119,8 @@
   bool isReceivingAnswer() const;
   void responseRead(bool HasMoreBytes);
   void peerClosed();
+  /// True if the connection ended other than by an orderly close.
+  bool wasReset();
   void fail(attempt_outcome Outcome);
   /// Ends the attempt because what the server sent cannot be read.
   void failUnreadable(const char *Reason);
@@ -145,6 +147,7 @@
   bool IsReading = false;
   bool IsPaused = false;
   bool IsWriting = false;
+  bool HasWriteFailed = false;
   bool IsOpen = true;
   bool IsConnected = false;
   /// The whole request was passed to the socket.
--- /dev/null
+++ b/modules/bw_forward/service/broken_answers_test.cpp
@@ -0,0 +1,150 @@
+// Tests that an answer which breaks the grammar of HTTP/1.1, or whose
+// connection was reset, is one outcome, known at once: the attempt is broken,
+// and the request may have run.
+
+#include "bw_forward/service/forward_test_fixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <thread>
+
+#include <sys/ioctl.h>
+
+using namespace bw;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string withoutLength(const std::string &Body) {
+  return "HTTP/1.1 200 OK\r\nBw-Request-Id: r1\r\n\r\n" + Body;
+}
+
+} // namespace
+
+class broken_answers_test : public forward_test_fixture {
+  CPPUNIT_TEST_SUITE(broken_answers_test);
+  CPPUNIT_TEST(resetDuringAnUploadEndsNoAnswer);
+  CPPUNIT_TEST(resetDuringAnUploadAbortsARelayedAnswer);
+  CPPUNIT_TEST(earlyAnswerThatEndsInOrderIsComplete);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against a reset that a pending write takes note of, so that the end
+  // of the connection looks like an orderly one and ends the answer.
+  void resetDuringAnUploadEndsNoAnswer() {
+    for (const bool HasLinger : {true, false}) {
+      expectUpload(
+          [&](const request_arrived &Arrived, test_socket &Connection) {
+            Connection.write(withoutLength("part"));
+            reset(Connection, HasLinger);
+            const auto Ended = nextEnd();
+            CPPUNIT_ASSERT(Ended && Ended->Outcome == attempt_outcome::Broken);
+            command(refuse_request{.Request = Arrived.Request,
+                                   .Reason = refusal_reason::Unknown});
+            CPPUNIT_ASSERT(
+                Caller->readUntil("\r\n\r\n").starts_with("HTTP/1.1 502 "));
+          });
+    }
+  }
+
+  // The same for an answer of which a part was relayed.
+  void resetDuringAnUploadAbortsARelayedAnswer() {
+    expectUpload([&](const request_arrived &Arrived, test_socket &Connection) {
+      Connection.write(withoutLength(std::string(100'000, 'x')));
+      CPPUNIT_ASSERT(!Decide->next<attempt_ended>().IsComplete);
+      command(relay_answer{.Request = Arrived.Request,
+                           .Attempt = attempt_number(1)});
+      Caller->readUntil("xxx");
+      reset(Connection, true);
+      CPPUNIT_ASSERT(!Decide->next<relay_ended>().IsComplete);
+      expectCallerCut();
+    });
+  }
+
+  // Guards against an answer that is thrown away because the server ended it
+  // before it had read the request.
+  void earlyAnswerThatEndsInOrderIsComplete() {
+    expectUpload([&](const request_arrived &Arrived, test_socket &Connection) {
+      Connection.write(withoutLength("result"));
+      Connection.Socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+      const auto Ended = nextEnd();
+      CPPUNIT_ASSERT(Ended && Ended->Outcome == attempt_outcome::Answered);
+      command(
+          relay_answer{.Request = Arrived.Request, .Attempt = Ended->Attempt});
+      CPPUNIT_ASSERT(Caller->readUntil("result").starts_with("HTTP/1.1 200 "));
+    });
+  }
+
+private:
+  /// The next event, if it is the end of an attempt.
+  std::optional<attempt_ended> nextEnd() {
+    const auto Event = Decide->events().pop(Clock->now() + EndLimit);
+    if (!Event || !std::holds_alternative<attempt_ended>(*Event))
+      return std::nullopt;
+    return std::get<attempt_ended>(*Event);
+  }
+
+  /// Plays a server's part while a caller uploads more than all buffers hold.
+  template <typename Play> void expectUpload(const Play &PlayServer) {
+    Caller = std::make_unique<test_socket>();
+    Caller->connect(Forward->port());
+    Server = std::make_unique<scripted_server>();
+    const std::string Body(mebibytes(32).value(), 'u');
+    std::thread Writer([&] {
+      asio::error_code Ignored;
+      asio::write(Caller->Socket, asio::buffer(bw::request("r1", "POST", Body)),
+                  Ignored);
+    });
+    try {
+      const auto Arrived = Decide->next<request_arrived>();
+      const auto Connection = start(Arrived, 20s);
+      Connection->readUntil("\r\n\r\n");
+      waitUntilWriteBlocks(*Connection);
+      PlayServer(Arrived, *Connection);
+    } catch (...) {
+      asio::error_code Ignored;
+      Caller->Socket.shutdown(asio::ip::tcp::socket::shutdown_both, Ignored);
+      Writer.join();
+      throw;
+    }
+    asio::error_code Ignored;
+    Caller->Socket.shutdown(asio::ip::tcp::socket::shutdown_both, Ignored);
+    Writer.join();
+    while (Decide->events().tryPop()) {
+    }
+  }
+
+  /// Waits until the bytes that the host has sent no longer grow.
+  void waitUntilWriteBlocks(test_socket &Connection) {
+    int Before = -1;
+    int Unread = 0;
+    while (Before != Unread) {
+      Before = Unread;
+      std::this_thread::sleep_for(100ms);
+      CPPUNIT_ASSERT(
+          ::ioctl(Connection.Socket.native_handle(), FIONREAD, &Unread) == 0);
+    }
+  }
+
+  /// A close with unread bytes resets the connection as well.
+  static void reset(test_socket &Connection, bool HasLinger) {
+    if (HasLinger)
+      Connection.Socket.set_option(asio::socket_base::linger(true, 0));
+    Connection.Socket.close();
+  }
+
+  /// The caller's own writes may take the error of the reset, so a caller that
+  /// writes knows only that the last chunk is missing.
+  void expectCallerCut() {
+    std::string Rest;
+    for (std::string Part = Caller->readSome(); !Part.empty();
+         Part = Caller->readSome())
+      Rest += Part;
+    CPPUNIT_ASSERT(!Rest.ends_with("\r\n0\r\n\r\n"));
+  }
+
+  /// Far below the deadline of the requests.
+  static constexpr duration EndLimit = 1s;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(broken_answers_test);
--- a/modules/bw_http/client/http_client_test.cpp
+++ b/modules/bw_http/client/http_client_test.cpp
@@ -39,7 +39,9 @@
 public:
   static constexpr std::size_t MaxBytes = mebibytes(96).value();
 
-  explicit raw_server(std::string First, std::string Repeated = {}) {
+  /// A reset ends the connection if `IsReset` is set, else an orderly close.
+  explicit raw_server(std::string First, std::string Repeated = {},
+                      bool IsReset = false) {
     Listener = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in Address{};
     Address.sin_family = AF_INET;
@@ -50,19 +52,24 @@
                    ::listen(Listener, 1) == 0 &&
                    ::getsockname(Listener, Generic, &Size) == 0);
     Port = ntohs(Address.sin_port);
-    Thread = std::thread(
-        [this, First = std::move(First), Repeated = std::move(Repeated)] {
-          const int Connection = ::accept(Listener, nullptr, nullptr);
-          std::string Head;
-          char Byte = 0;
-          while (!Head.ends_with("\r\n\r\n") &&
-                 ::recv(Connection, &Byte, 1, 0) == 1)
-            Head += Byte;
-          bool IsOpen = write(Connection, First);
-          while (IsOpen && !Repeated.empty() && Written < MaxBytes)
-            IsOpen = write(Connection, Repeated);
-          ::close(Connection);
-        });
+    Thread = std::thread([this, First = std::move(First),
+                          Repeated = std::move(Repeated), IsReset] {
+      const int Connection = ::accept(Listener, nullptr, nullptr);
+      std::string Head;
+      char Byte = 0;
+      while (!Head.ends_with("\r\n\r\n") &&
+             ::recv(Connection, &Byte, 1, 0) == 1)
+        Head += Byte;
+      bool IsOpen = write(Connection, First);
+      while (IsOpen && !Repeated.empty() && Written < MaxBytes)
+        IsOpen = write(Connection, Repeated);
+      if (IsReset) {
+        const linger Discard{.l_onoff = 1, .l_linger = 0};
+        ::setsockopt(Connection, SOL_SOCKET, SO_LINGER, &Discard,
+                     sizeof Discard);
+      }
+      ::close(Connection);
+    });
   }
   ~raw_server() {
     ::shutdown(Listener, SHUT_RDWR);
@@ -121,6 +128,7 @@
   CPPUNIT_TEST(largeBodyIsRefused);
   CPPUNIT_TEST(trailersDoNotChangeTheHead);
   CPPUNIT_TEST(endlessResponsesAreBroken);
+  CPPUNIT_TEST(resetEndsNoResponse);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -380,6 +388,20 @@
                                                mebibytes(1).value());
     }
   }
+
+  // Guards against a response without a length that a reset seems to end, also
+  // while the request is being written.
+  void resetEndsNoResponse() {
+    for (const std::size_t RequestSize : {std::size_t(0), std::size_t(32)}) {
+      const raw_server Server("HTTP/1.1 200 OK\r\n\r\npart", {}, true);
+      const transfer_result Result = runTransfer(
+          *Client, {.Method = "POST",
+                    .Url = Server.url(),
+                    .Body = std::string(mebibytes(RequestSize).value(), 'u')});
+      CPPUNIT_ASSERT(Result.Status == transfer_status::Broken);
+      CPPUNIT_ASSERT(Result.WasSent);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_client_test);
