Send streamed responses with one length only

What callers saw: nothing reported. A strict client refuses streamed responses of bramleywinchd.

Cause: the library's output that is written part by part always has a Content-Length, 0 if none is set, and the server added chunked coding to it. Such a message has two lengths (RFC 9112, 6.1).

Evidence: streamedResponsesHaveOneLength failed before.

Why this works: a response without a length uses the library's chunked output, which has no Content-Length. That output always ends with the last chunk, so a response that breaks off closes the socket first; the client sees no last chunk, as before.

Measured: the test passes, and brokenResponsesAreNotComplete with its cases of broken off and whole chunks.

--- a/modules/bw_http/client/http_client_test.cpp
+++ b/modules/bw_http/client/http_client_test.cpp
@@ -119,6 +119,7 @@
   CPPUNIT_TEST_SUITE(http_client_test);
   CPPUNIT_TEST(wholeResponsePasses);
   CPPUNIT_TEST(brokenResponsesAreNotComplete);
+  CPPUNIT_TEST(streamedResponsesHaveOneLength);
   CPPUNIT_TEST(failedConnectIsNotSent);
   CPPUNIT_TEST(deadlineEndsASilentServer);
   CPPUNIT_TEST(idleTimeOutEndsStalledResponses);
@@ -189,6 +190,26 @@
     }
   }
 
+  // Guards against streamed responses that a strict client refuses, as it
+  // cannot tell where they end.
+  void streamedResponsesHaveOneLength() {
+    for (const std::optional<byte_count> Length :
+         {std::optional<byte_count>(), std::optional(byte_count(4))}) {
+      test_server Server([&](const http_exchange_pointer &Exchange) {
+        Exchange->begin(200, {}, Length);
+        Exchange->write("data");
+        Exchange->finish();
+      });
+      const call_result Result = callHttp({.Url = Server.url("/")});
+      CPPUNIT_ASSERT_EQUAL(std::string("data"), Result.Response.Body);
+      const http_headers &Headers = Result.Response.Headers;
+      CPPUNIT_ASSERT(Headers.find("Content-Length").has_value() ==
+                     Length.has_value());
+      CPPUNIT_ASSERT(Headers.find("Transfer-Encoding").has_value() !=
+                     Length.has_value());
+    }
+  }
+
   // Guards against "unknown" for a request that certainly did not run.
   void failedConnectIsNotSent() {
     std::uint16_t Port = 0;
--- a/modules/bw_http/server/connection_limiter.cpp
+++ b/modules/bw_http/server/connection_limiter.cpp
@@ -93,6 +93,13 @@
   Connections.erase(Found);
 }
 
+void connection_limiter::disconnect(http_connection_id Id) {
+  const std::lock_guard Guard(Mutex);
+  const auto Found = Connections.find(Id);
+  if (Found != Connections.end())
+    Found->second.Close(false);
+}
+
 template <typename Change>
 void connection_limiter::update(http_connection_id Id, Change Apply) {
   const auto Found = Connections.find(Id);
--- a/modules/bw_http/server/connection_limiter.h
+++ b/modules/bw_http/server/connection_limiter.h
@@ -45,6 +45,8 @@
   /// nothing if this one is to be closed.
   std::optional<http_connection_id> open(close_hook Close);
   void closed(http_connection_id Id);
+  /// Closes the socket of the connection in order.
+  void disconnect(http_connection_id Id);
 
   /// Some bytes of a request were received.
   void received(http_connection_id Id, std::size_t Size);
--- a/modules/bw_http/server/http_server.cpp
+++ b/modules/bw_http/server/http_server.cpp
@@ -44,6 +44,9 @@
   std::atomic<bool> Draining = false;
 };
 
+using chunked_builder =
+    restinio::response_builder_t<restinio::chunked_output_t>;
+
 class connection_listener {
 public:
   explicit connection_listener(std::shared_ptr<open_exchanges> Open)
@@ -111,56 +114,59 @@
     const std::lock_guard Guard(Mutex);
     if (Ended)
       return;
-    Stream.emplace(Handle->create_response<restinio::user_controlled_output_t>(
-        statusLine(Status)));
-    copyHeaders(Headers, *Stream);
     // Only a connection that closes lets the client see a response that was
     // broken off.
-    Stream->connection_close();
-    if (Length)
-      Stream->set_content_length(Length->value());
-    else
-      Stream->append_header("Transfer-Encoding", "chunked");
-    IsChunked = !Length.has_value();
-    Stream->flush();
+    if (Length) {
+      Stream.emplace(
+          Handle->create_response<restinio::user_controlled_output_t>(
+              statusLine(Status)));
+      copyHeaders(Headers, *Stream);
+      Stream->connection_close().set_content_length(Length->value()).flush();
+    } else {
+      // The other form of output always has a length.
+      Chunks.emplace(Handle->create_response<restinio::chunked_output_t>(
+          statusLine(Status)));
+      copyHeaders(Headers, *Chunks);
+      Chunks->connection_close().flush();
+    }
   }
 
   byte_count write(std::string Part) override {
     const std::lock_guard Guard(Mutex);
-    if (Ended || !Stream || Part.empty())
+    if (Ended || !isStreamed() || Part.empty())
       return byte_count(Unwritten);
     const std::size_t Size = Part.size();
     Unwritten += Size;
     limiter().responseQueued(Id, Size);
-    if (IsChunked)
-      Stream->append_body(fmt::format("{:x}\r\n", Size));
-    Stream->append_body(std::move(Part));
-    if (IsChunked)
-      Stream->append_body(std::string("\r\n"));
-    Stream->flush([Self = weak_from_this(), Open = std::weak_ptr(Open), Id = Id,
-                   Size](const auto &Error) {
+    const auto OnFlushed = [Self = weak_from_this(), Open = std::weak_ptr(Open),
+                            Id = Id, Size](const auto &Error) {
       releaseResponse(Open, Id, Size);
       if (const auto Exchange = Self.lock())
         Exchange->written(Size, !Error);
-    });
+    };
+    if (Stream)
+      Stream->append_body(std::move(Part)).flush(OnFlushed);
+    else
+      Chunks->append_chunk(std::move(Part)).flush(OnFlushed);
     return byte_count(Unwritten);
   }
 
   void finish() override {
     const std::lock_guard Guard(Mutex);
-    if (Ended || !Stream)
+    if (Ended || !isStreamed())
       return;
-    if (IsChunked)
-      Stream->append_body(std::string("0\r\n\r\n"));
-    Stream->done();
+    if (Stream)
+      Stream->done();
+    else
+      Chunks->done();
     endLocked();
   }
 
   void abort() override {
     const std::lock_guard Guard(Mutex);
-    if (Ended || !Stream)
+    if (Ended || !isStreamed())
       return;
-    Stream->done();
+    breakOff();
     endLocked();
   }
 
@@ -241,11 +247,29 @@
   void endResponse() {
     const std::lock_guard Guard(Mutex);
     // A stream that nobody finished is broken off.
-    if (!Ended && Stream)
-      Stream->done();
+    if (!Ended)
+      breakOff();
     endLocked();
   }
 
+  bool isStreamed() const { return Stream || Chunks; }
+
+  // The library ends chunked output with the last chunk, which the client must
+  // not get, so the socket is closed first.
+  void breakOff() {
+    if (Stream)
+      Stream->done();
+    if (!Chunks)
+      return;
+    auto Unfinished = std::make_shared<chunked_builder>(std::move(*Chunks));
+    restinio::asio_ns::post(Open->Context,
+                            [Open = std::weak_ptr(Open), Id = Id, Unfinished] {
+                              if (const auto Own = Open.lock())
+                                Own->Context.Limiter.disconnect(Id);
+                              Unfinished->done();
+                            });
+  }
+
   void endLocked() {
     Ended = true;
     if (!Counted)
@@ -262,10 +286,11 @@
   // Recursive: a write to a connection that the client has closed ends it at
   // once, on the same thread, and reports that back here.
   mutable std::recursive_mutex Mutex;
+  /// A streamed response, with a length or in chunks.
   std::optional<
       restinio::response_builder_t<restinio::user_controlled_output_t>>
       Stream;
-  bool IsChunked = false;
+  std::optional<chunked_builder> Chunks;
   bool Ended = false;
   bool Counted = false;
   std::uint64_t Unwritten = 0;
