Take responses without a valid status for broken

What callers saw: on other systems, an answer with the status 000. Here it was taken for an interim response: the request waited for another answer until its deadline. Statuses of four digits and above 599, other protocol versions and control bytes in the reason were relayed.

Cause: http_parser and libcurl accept more than the grammar of a status line, and the forward service takes each status under 200 for interim. For libcurl a status line may also be missing: the response then had the default status, 200.

The status 000 itself was already refused by libcurl.

Why this works: head_grammar checks the status line byte by byte, before the parser's hooks see anything of the message, in both engines. A status has three digits and a class from 1 to 5; 101 is refused, as no request asks for another protocol. The attempt is broken at once, which may have run, whatever else the head claims. A transfer without a head is not complete.

Measured: 26 status lines, each in four segmentations for the parser, end as broken while the server keeps its connection open.

--- a/modules/bw_forward/parser/http1_parser.cpp
+++ b/modules/bw_forward/parser/http1_parser.cpp
@@ -1,5 +1,7 @@
 #include "bw_forward/parser/http1_parser.h"
 
+#include "bw_http/messages/head_grammar.h"
+
 #include <http_parser.h>
 
 #include <limits>
@@ -20,11 +22,16 @@
 // malformed (RFC 9112, 5.1).
 bool hasBlank(std::string_view Name) { return Name.find(' ') != Name.npos; }
 
+head_grammar grammarOf(http1_side Side) {
+  return head_grammar(Side == http1_side::Request ? head_start::RequestLine
+                                                  : head_start::StatusLine);
+}
+
 } // namespace
 
 struct http1_parser::implementation {
   implementation(http1_side Side, http1_parser_hooks GivenHooks)
-      : Hooks(std::move(GivenHooks)) {
+      : Side(Side), Hooks(std::move(GivenHooks)), HeadGrammar(grammarOf(Side)) {
     http_parser_init(&Parser, Side == http1_side::Request ? HTTP_REQUEST
                                                           : HTTP_RESPONSE);
     Parser.data = this;
@@ -128,6 +135,18 @@
     return Self.Hooks.OnHead(std::move(Head)) ? 0 : 1;
   }
 
+  /// Checks the part of a block that belongs to the head, before http_parser
+  /// passes it on. Returns false if it breaks the grammar.
+  bool checkHead(std::string_view Block) {
+    HeadGrammar.feed(Block);
+    return HeadGrammar.state() != head_state::Malformed;
+  }
+
+  void beginMessage() {
+    Message = {};
+    HeadGrammar = grammarOf(Side);
+  }
+
   static int onBody(http_parser *Parser, const char *Data, std::size_t Size) {
     of(Parser).Message.BodySize += Size;
     of(Parser).BodyOfBlock += Size;
@@ -150,10 +169,12 @@
     return 0;
   }
 
+  const http1_side Side;
   http1_parser_hooks Hooks;
   http_parser Parser{};
   http_parser_settings Callbacks{};
   message_state Message;
+  head_grammar HeadGrammar;
   bool IsInMessage = false;
   bool IsComplete = false;
   bool IsHeadTooBig = false;
@@ -178,6 +199,8 @@
     return {};
   implementation &Self = *Implementation;
   Self.IsComplete = false;
+  if (!Self.checkHead(Bytes))
+    return {.Status = parse_status::Malformed, .Taken = 0};
   const std::size_t Taken = http_parser_execute(&Self.Parser, &Self.Callbacks,
                                                 Bytes.data(), Bytes.size());
   if (Self.IsHeadTooBig)
@@ -185,7 +208,7 @@
   if (!Self.addToFraming(Taken))
     return {.Status = parse_status::Malformed, .Taken = Taken};
   if (Self.IsComplete) {
-    Self.Message = {};
+    Self.beginMessage();
     if (HTTP_PARSER_ERRNO(&Self.Parser) == HPE_PAUSED)
       http_parser_pause(&Self.Parser, 0);
     // The bytes after an upgrade belong to another protocol.
--- a/modules/bw_forward/parser/http1_parser.h
+++ b/modules/bw_forward/parser/http1_parser.h
@@ -55,7 +55,8 @@
 };
 
 /// Incremental parser for one direction of an HTTP/1 connection. Parses any
-/// number of consecutive messages and stops at the end of each one. Trailer
+/// number of consecutive messages and stops at the end of each one. A message
+/// with a malformed head reaches no hook. Trailer
 /// fields count towards the head limit and are dropped. The hooks must not
 /// destroy the parser.
 class http1_parser {
--- a/modules/bw_forward/parser/http1_parser_test.cpp
+++ b/modules/bw_forward/parser/http1_parser_test.cpp
@@ -1,7 +1,10 @@
 #include "bw_forward/parser/http1_parser.h"
 
+#include "bw_testing/http/response_cases.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <span>
 #include <vector>
 
 using namespace bw;
@@ -135,11 +138,12 @@
   }
 
   void rejectsMalformedMessages() {
-    for (const malformed_case &Case : MalformedCases) {
-      message_recorder Messages(Case.Side);
-      CPPUNIT_ASSERT_MESSAGE(Case.Failure, Messages.feed(Case.Bytes, 1000) ==
-                                               parse_status::Malformed);
-    }
+    for (const malformed_case &Case : MalformedCases)
+      expectMalformed(Case.Side, Case.Failure, Case.Bytes);
+    for (const std::span<const response_case> Cases :
+         {std::span<const response_case>(BrokenStatusLines)})
+      for (const response_case &Case : Cases)
+        expectMalformed(http1_side::Response, Case.Name, Case.Bytes);
   }
 
   // Guards against unbounded memory use by large heads.
@@ -243,6 +247,16 @@
         Messages.feed(Start + "X-T: " + std::string(2000, 'x') + "\r\n\r\n",
                       100) == parse_status::HeadTooBig);
   }
+
+private:
+  static void expectMalformed(http1_side Side, const std::string &Name,
+                              const std::string &Bytes) {
+    for (const std::size_t PieceSize : {1U, 2U, 7U, 1000U}) {
+      message_recorder Messages(Side);
+      CPPUNIT_ASSERT_MESSAGE(Name, Messages.feed(Bytes, PieceSize) ==
+                                       parse_status::Malformed);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http1_parser_test);
--- a/modules/bw_forward/service/broken_answers_test.cpp
+++ b/modules/bw_forward/service/broken_answers_test.cpp
@@ -3,9 +3,11 @@
 // and the request may have run.
 
 #include "bw_forward/service/forward_test_fixture.h"
+#include "bw_testing/http/response_cases.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <span>
 #include <thread>
 
 #include <sys/ioctl.h>
@@ -13,29 +15,26 @@
 using namespace bw;
 using namespace std::chrono_literals;
 
-namespace {
-
-std::string withoutLength(const std::string &Body) {
-  return "HTTP/1.1 200 OK\r\nBw-Request-Id: r1\r\n\r\n" + Body;
-}
-
-} // namespace
-
 class broken_answers_test : public forward_test_fixture {
   CPPUNIT_TEST_SUITE(broken_answers_test);
+  CPPUNIT_TEST(brokenStatusLinesAreNoAnswer);
   CPPUNIT_TEST(resetDuringAnUploadEndsNoAnswer);
   CPPUNIT_TEST(resetDuringAnUploadAbortsARelayedAnswer);
   CPPUNIT_TEST(earlyAnswerThatEndsInOrderIsComplete);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // Guards against a response without a valid status that is relayed, or that
+  // is taken for an interim one, so that its request waits until its deadline.
+  void brokenStatusLinesAreNoAnswer() { expectBroken(BrokenStatusLines); }
+
   // Guards against a reset that a pending write takes note of, so that the end
   // of the connection looks like an orderly one and ends the answer.
   void resetDuringAnUploadEndsNoAnswer() {
     for (const bool HasLinger : {true, false}) {
       expectUpload(
           [&](const request_arrived &Arrived, test_socket &Connection) {
-            Connection.write(withoutLength("part"));
+            Connection.write(framed("", "part"));
             reset(Connection, HasLinger);
             const auto Ended = nextEnd();
             CPPUNIT_ASSERT(Ended && Ended->Outcome == attempt_outcome::Broken);
@@ -50,7 +49,7 @@
   // The same for an answer of which a part was relayed.
   void resetDuringAnUploadAbortsARelayedAnswer() {
     expectUpload([&](const request_arrived &Arrived, test_socket &Connection) {
-      Connection.write(withoutLength(std::string(100'000, 'x')));
+      Connection.write(framed("", std::string(100'000, 'x')));
       CPPUNIT_ASSERT(!Decide->next<attempt_ended>().IsComplete);
       command(relay_answer{.Request = Arrived.Request,
                            .Attempt = attempt_number(1)});
@@ -65,7 +64,7 @@
   // before it had read the request.
   void earlyAnswerThatEndsInOrderIsComplete() {
     expectUpload([&](const request_arrived &Arrived, test_socket &Connection) {
-      Connection.write(withoutLength("result"));
+      Connection.write(framed("", "result"));
       Connection.Socket.shutdown(asio::ip::tcp::socket::shutdown_send);
       const auto Ended = nextEnd();
       CPPUNIT_ASSERT(Ended && Ended->Outcome == attempt_outcome::Answered);
@@ -76,6 +75,23 @@
   }
 
 private:
+  request_arrived request(const std::string &Label, const std::string &Method) {
+    Caller = std::make_unique<test_socket>();
+    Caller->connect(Forward->port());
+    Caller->write(bw::request(Label, Method));
+    return Decide->next<request_arrived>();
+  }
+
+  std::unique_ptr<test_socket> answerWith(const request_arrived &Arrived,
+                                          const std::string &Bytes) {
+    Server = std::make_unique<scripted_server>();
+    auto Connection = start(Arrived);
+    Connection->readUntil("\r\n\r\n");
+    asio::error_code Ignored;
+    asio::write(Connection->Socket, asio::buffer(Bytes), Ignored);
+    return Connection;
+  }
+
   /// The next event, if it is the end of an attempt.
   std::optional<attempt_ended> nextEnd() {
     const auto Event = Decide->events().pop(Clock->now() + EndLimit);
@@ -84,6 +100,30 @@
     return std::get<attempt_ended>(*Event);
   }
 
+  /// The server keeps its connection open, so the outcome does not come from
+  /// its end.
+  void expectBroken(std::span<const response_case> Cases) {
+    std::string Failed;
+    for (const response_case &Case : Cases) {
+      const auto Arrived = request("r1", "POST");
+      const auto Connection = answerWith(Arrived, Case.Bytes);
+      const auto Ended = nextEnd();
+      if (!Ended)
+        Failed += std::string(Case.Name) + " (no outcome); ";
+      else if (Ended->Outcome != attempt_outcome::Broken)
+        Failed += std::string(Case.Name) + "; ";
+      finish(Arrived);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), Failed);
+  }
+
+  void finish(const request_arrived &Arrived) {
+    command(refuse_request{.Request = Arrived.Request,
+                           .Reason = refusal_reason::Unknown});
+    Caller->readUntil("\r\n\r\n");
+    Decide->events().tryPop();
+  }
+
   /// Plays a server's part while a caller uploads more than all buffers hold.
   template <typename Play> void expectUpload(const Play &PlayServer) {
     Caller = std::make_unique<test_socket>();
--- a/modules/bw_http/bw_http.h
+++ b/modules/bw_http/bw_http.h
@@ -9,6 +9,7 @@
 #include "bw_http/client/http_call.h"
 #include "bw_http/client/http_call_session.h"
 #include "bw_http/client/http_client.h"
+#include "bw_http/messages/head_grammar.h"
 #include "bw_http/messages/http_messages.h"
 #include "bw_http/messages/percent_encoding.h"
 #include "bw_http/server/http_exchange.h"
--- a/modules/bw_http/client/easy_transfer.cpp
+++ b/modules/bw_http/client/easy_transfer.cpp
@@ -1,6 +1,5 @@
 #include "bw_http/client/easy_transfer.h"
 
-#include <charconv>
 #include <new>
 
 #include <netinet/in.h>
@@ -93,42 +92,48 @@
   auto *Transfer = static_cast<easy_transfer *>(Self);
   Transfer->noteActivity();
   Transfer->HeadSize += Total;
-  if (Transfer->HeadSize > HeadLimit.value())
+  if (Transfer->HeadSize > HeadLimit.value() ||
+      !Transfer->takeHeaderLine({Data, Total}))
     return AbortTransfer;
-  Transfer->takeHeaderLine({Data, Total});
   return Total;
 }
 
 // libcurl passes trailer fields on as header lines, too.
-void easy_transfer::takeHeaderLine(std::string_view Line) {
+bool easy_transfer::takeHeaderLine(std::string_view Line) {
   if (IsHeadComplete)
-    return;
-  while (!Line.empty() && (Line.back() == '\r' || Line.back() == '\n'))
-    Line.remove_suffix(1);
-  if (Line.starts_with("HTTP/")) {
-    Head = {};
-    const std::size_t Space = Line.find(' ');
-    if (Space != Line.npos)
-      std::from_chars(Line.data() + Space + 1, Line.data() + Line.size(),
-                      HeadStatus);
-    return;
+    return true;
+  const bool IsStatusLine = Grammar.isAtStart();
+  Grammar.feed(Line);
+  if (Grammar.state() == head_state::Malformed)
+    return false;
+  if (Grammar.state() == head_state::Complete) {
+    takeEndOfHead();
+    return true;
   }
-  if (Line.empty()) {
-    // Interim responses (1xx) are followed by the final head.
-    constexpr int FirstFinalStatus = 200;
-    if (HeadStatus < FirstFinalStatus)
-      return;
-    IsHeadComplete = true;
-    Request.OnHead(HeadStatus, Head);
-    return;
+  if (IsStatusLine) {
+    Head = {};
+    return true;
   }
+  while (Line.ends_with('\r') || Line.ends_with('\n'))
+    Line.remove_suffix(1);
   const std::size_t Colon = Line.find(':');
   if (Colon == Line.npos)
-    return;
+    return true;
   std::string_view Value = Line.substr(Colon + 1);
-  while (!Value.empty() && Value.front() == ' ')
+  while (Value.starts_with(' '))
     Value.remove_prefix(1);
   Head.add(std::string(Line.substr(0, Colon)), std::string(Value));
+  return true;
+}
+
+// Interim responses (1xx) are followed by the final head.
+void easy_transfer::takeEndOfHead() {
+  constexpr int FirstFinalStatus = 200;
+  HeadStatus = Grammar.status();
+  IsHeadComplete = HeadStatus >= FirstFinalStatus;
+  Grammar = head_grammar(head_start::StatusLine);
+  if (IsHeadComplete)
+    Request.OnHead(HeadStatus, Head);
 }
 
 std::size_t easy_transfer::receiveBody(char *Data, std::size_t Size,
@@ -172,7 +177,7 @@
   Result.Received = byte_count(static_cast<std::uint64_t>(Received));
   Result.Elapsed = std::chrono::microseconds(Microseconds);
   Result.LocalPort = static_cast<std::uint16_t>(Port);
-  if (Code == CURLE_OK)
+  if (Code == CURLE_OK && IsHeadComplete)
     Result.Status = transfer_status::Complete;
   else if (!Result.WasSent)
     Result.Status = transfer_status::ConnectFailed;
--- a/modules/bw_http/client/easy_transfer.h
+++ b/modules/bw_http/client/easy_transfer.h
@@ -2,6 +2,7 @@
 #define BW_HTTP_CLIENT_EASY_TRANSFER_H
 
 #include "bw_http/client/http_call.h"
+#include "bw_http/messages/head_grammar.h"
 
 #include <curl/curl.h>
 
@@ -38,7 +39,10 @@
   static int limitSilence(void *Context, curl_socket_t Socket,
                           curlsocktype Purpose);
   void applyOptions();
-  void takeHeaderLine(std::string_view Line);
+  /// Takes a line of a head, with its end. Returns false if the response breaks
+  /// the grammar.
+  bool takeHeaderLine(std::string_view Line);
+  void takeEndOfHead();
   void noteActivity();
 
   client_request Request;
@@ -46,6 +50,7 @@
   curl_slist *HeaderList = nullptr;
   int HeadStatus = 0;
   http_headers Head;
+  head_grammar Grammar{head_start::StatusLine};
   bool IsHeadComplete = false;
   /// Bytes of all heads of the response and of its trailer.
   std::size_t HeadSize = 0;
--- a/modules/bw_http/client/http_client_test.cpp
+++ b/modules/bw_http/client/http_client_test.cpp
@@ -1,12 +1,14 @@
 #include "bw_http/client/http_call.h"
 #include "bw_http/client/http_client.h"
 #include "bw_http/server/http_server.h"
+#include "bw_testing/http/response_cases.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <atomic>
 #include <future>
 #include <mutex>
+#include <span>
 #include <thread>
 
 #include <netinet/in.h>
@@ -129,6 +131,7 @@
   CPPUNIT_TEST(largeBodyIsRefused);
   CPPUNIT_TEST(trailersDoNotChangeTheHead);
   CPPUNIT_TEST(endlessResponsesAreBroken);
+  CPPUNIT_TEST(brokenStatusLinesAreNoResponse);
   CPPUNIT_TEST(resetEndsNoResponse);
   CPPUNIT_TEST_SUITE_END();
 
@@ -410,6 +413,16 @@
     }
   }
 
+  // Guards against a response without a valid status that counts as one, such
+  // as the default status of a response.
+  void brokenStatusLinesAreNoResponse() {
+    expectBroken(BrokenStatusLines);
+    const response_case Others[] = {
+        {"no head", "result"},
+        {"only an interim response", "HTTP/1.1 100 Continue\r\n\r\n"}};
+    expectBroken(Others);
+  }
+
   // Guards against a response without a length that a reset seems to end, also
   // while the request is being written.
   void resetEndsNoResponse() {
@@ -423,6 +436,22 @@
       CPPUNIT_ASSERT(Result.WasSent);
     }
   }
+
+private:
+  /// Both ways to call must give a broken transfer without a status.
+  void expectBroken(std::span<const response_case> Cases) {
+    std::string Failed;
+    for (const response_case &Case : Cases) {
+      const raw_server First(Case.Bytes);
+      const call_result Called = callHttp({.Url = First.url()});
+      const raw_server Second(Case.Bytes);
+      const transfer_result Run = runTransfer(*Client, {.Url = Second.url()});
+      if (Called.Transfer.Status != transfer_status::Broken ||
+          Run.Status != transfer_status::Broken || !Run.WasSent)
+        Failed += std::string(Case.Name) + "; ";
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), Failed);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_client_test);
--- /dev/null
+++ b/modules/bw_http/messages/head_grammar.cpp
@@ -0,0 +1,106 @@
+#include "bw_http/messages/head_grammar.h"
+
+using namespace bw;
+
+namespace {
+
+constexpr std::string_view VersionStart = "HTTP/1.";
+constexpr std::uint8_t StatusDigits = 3;
+constexpr int SwitchingProtocols = 101;
+
+bool isDigit(char Character) { return Character >= '0' && Character <= '9'; }
+
+// Of a reason: visible ASCII, blanks, and bytes above ASCII.
+bool isTextCharacter(char Character) {
+  constexpr unsigned char Delete = 0x7f;
+  const auto Byte = static_cast<unsigned char>(Character);
+  return (Byte >= ' ' && Byte != Delete) || Byte == '\t';
+}
+
+} // namespace
+
+head_grammar::head_grammar(head_start Start)
+    : Place(Start == head_start::StatusLine ? place::Version
+                                            : place::BeforeRequest) {}
+
+std::size_t head_grammar::feed(std::string_view Bytes) {
+  std::size_t Taken = 0;
+  while (Taken < Bytes.size() && state() == head_state::Incomplete)
+    Place = next(Bytes[Taken++]);
+  return Taken;
+}
+
+head_state head_grammar::state() const {
+  switch (Place) {
+  case place::Complete:
+    return head_state::Complete;
+  case place::Malformed:
+    return head_state::Malformed;
+  default:
+    return head_state::Incomplete;
+  }
+}
+
+head_grammar::place head_grammar::next(char Character) {
+  // The end of a line whose content may end here.
+  const auto EndOr = [Character](place Other) {
+    return Character == '\r'   ? place::LineEnd
+           : Character == '\n' ? place::LineStart
+                               : Other;
+  };
+  switch (Place) {
+  case place::Version:
+  case place::MinorVersion:
+  case place::BeforeStatus:
+  case place::Status:
+    return nextInStatus(Character);
+  case place::AfterStatus:
+    return EndOr(Character == ' ' ? place::Reason : place::Malformed);
+  case place::Reason:
+    return EndOr(isTextCharacter(Character) ? Place : place::Malformed);
+  case place::BeforeRequest:
+    // Servers ignore empty lines before a request (RFC 9112, 2.2).
+    return Character == '\r' || Character == '\n' ? Place
+                                                  : place::UncheckedLine;
+  case place::UncheckedLine:
+    return EndOr(Place);
+  case place::LineStart:
+    if (Character == '\r')
+      return place::HeadEnd;
+    if (Character == '\n')
+      return place::Complete;
+    return place::UncheckedLine;
+  case place::LineEnd:
+    return Character == '\n' ? place::LineStart : place::Malformed;
+  case place::HeadEnd:
+    return Character == '\n' ? place::Complete : place::Malformed;
+  case place::Complete:
+  case place::Malformed:
+    break;
+  }
+  return Place;
+}
+
+head_grammar::place head_grammar::nextInStatus(char Character) {
+  if (Place == place::Version) {
+    if (Character != VersionStart[Count])
+      return place::Malformed;
+    return ++Count == VersionStart.size() ? place::MinorVersion : Place;
+  }
+  if (Place == place::MinorVersion)
+    return isDigit(Character) ? place::BeforeStatus : place::Malformed;
+  if (Place == place::BeforeStatus) {
+    Count = 0;
+    return Character == ' ' ? place::Status : place::Malformed;
+  }
+  // Only the classes 1 to 5 exist (RFC 9110, 15).
+  const bool IsFirst = Count == 0;
+  if (!isDigit(Character) || (IsFirst && (Character < '1' || Character > '5')))
+    return place::Malformed;
+  constexpr int Decimal = 10;
+  Status = Status * Decimal + (Character - '0');
+  if (++Count < StatusDigits)
+    return Place;
+  // No request asks for another protocol, so none is switched to.
+  return Status == SwitchingProtocols ? place::Malformed : place::AfterStatus;
+}
--- /dev/null
+++ b/modules/bw_http/messages/head_grammar.h
@@ -0,0 +1,62 @@
+#ifndef BW_HTTP_MESSAGES_HEAD_GRAMMAR_H
+#define BW_HTTP_MESSAGES_HEAD_GRAMMAR_H
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace bw {
+
+/// What the bytes begin with.
+enum class head_start : std::uint8_t {
+  StatusLine,  ///< The head of a response.
+  RequestLine, ///< The head of a request, which is not checked.
+};
+
+enum class head_state : std::uint8_t { Incomplete, Complete, Malformed };
+
+/// Checks the status line of an HTTP/1 message against RFC 9112, byte by byte,
+/// as the parsers accept more than its grammar. A single LF ends a line, too,
+/// and a status line may end with the status.
+class head_grammar {
+public:
+  explicit head_grammar(head_start Start);
+
+  /// Takes bytes up to the end of the head or to the first one that no valid
+  /// head has in this place. Returns the number of bytes taken.
+  std::size_t feed(std::string_view Bytes);
+  head_state state() const;
+  /// True before the first byte of a head of a response.
+  bool isAtStart() const { return Place == place::Version && Count == 0; }
+  /// The status of the response; valid when the head is complete.
+  int status() const { return Status; }
+
+private:
+  enum class place : std::uint8_t {
+    Version,
+    MinorVersion,
+    BeforeStatus,
+    Status,
+    AfterStatus,
+    Reason,
+    BeforeRequest,
+    UncheckedLine,
+    LineStart,
+    LineEnd,
+    HeadEnd,
+    Complete,
+    Malformed,
+  };
+
+  place next(char Character);
+  place nextInStatus(char Character);
+
+  place Place;
+  /// Number of characters of the version or of the status.
+  std::uint8_t Count = 0;
+  int Status = 0;
+};
+
+} // namespace bw
+
+#endif
