Take responses with malformed fields for broken

What callers saw: on other systems, answers in whose head the name of a field held a blank or a control byte, with that line passed on or with a body that was not the instance's. Here a blank was passed on, and "Content-Length :" was taken for the length.

Cause: http_parser, as Debian builds it, accepts blanks in names, folded values, any byte at the start of a value and a head that ends in a bare CR; only names in requests were checked. libcurl checks nothing of a field but its own.

Why this works: head_grammar checks names and values of each field, also of interim responses, requests and (in the client) trailers. A folded value breaks the message, as RFC 9112, 5.2 allows. Blanks around a value are not part of it, so that an id in front of one is the id.

--- a/modules/bw_forward/parser/http1_parser.cpp
+++ b/modules/bw_forward/parser/http1_parser.cpp
@@ -17,11 +17,6 @@
 constexpr std::size_t FramingShareOfHeadLimit = 2;
 constexpr std::size_t FramingPerBodyByte = 16;
 
-// http_parser accepts blanks in the names of fields. Servers may drop them and
-// thus read a field that this host took for another one, so such requests are
-// malformed (RFC 9112, 5.1).
-bool hasBlank(std::string_view Name) { return Name.find(' ') != Name.npos; }
-
 head_grammar grammarOf(http1_side Side) {
   return head_grammar(Side == http1_side::Request ? head_start::RequestLine
                                                   : head_start::StatusLine);
@@ -93,8 +88,6 @@
       if (Self.Message.HasValue)
         Self.addHeader();
       Self.Message.Field.append(Data, Size);
-      if (Parser->type == HTTP_REQUEST && hasBlank({Data, Size}))
-        return 1;
     }
     return Self.addToHeadSize(Size);
   }
@@ -114,7 +107,8 @@
     constexpr std::size_t Separators = 4;
     Message.HeadSize += Separators;
     Message.Head.Headers.add(std::exchange(Message.Field, {}),
-                             std::exchange(Message.Value, {}));
+                             std::string(trimFieldValue(Message.Value)));
+    Message.Value.clear();
     Message.HasValue = false;
   }
 
--- a/modules/bw_forward/service/broken_answers_test.cpp
+++ b/modules/bw_forward/service/broken_answers_test.cpp
@@ -18,6 +18,7 @@
 class broken_answers_test : public forward_test_fixture {
   CPPUNIT_TEST_SUITE(broken_answers_test);
   CPPUNIT_TEST(brokenStatusLinesAreNoAnswer);
+  CPPUNIT_TEST(brokenFieldsAreNoAnswer);
   CPPUNIT_TEST(resetDuringAnUploadEndsNoAnswer);
   CPPUNIT_TEST(resetDuringAnUploadAbortsARelayedAnswer);
   CPPUNIT_TEST(earlyAnswerThatEndsInOrderIsComplete);
@@ -28,6 +29,10 @@
   // is taken for an interim one, so that its request waits until its deadline.
   void brokenStatusLinesAreNoAnswer() { expectBroken(BrokenStatusLines); }
 
+  // Guards against fields that callers or servers interpret differently than
+  // this host, and against a body of another length than the server's.
+  void brokenFieldsAreNoAnswer() { expectBroken(BrokenFields); }
+
   // Guards against a reset that a pending write takes note of, so that the end
   // of the connection looks like an orderly one and ends the answer.
   void resetDuringAnUploadEndsNoAnswer() {
--- a/modules/bw_http/client/easy_transfer.cpp
+++ b/modules/bw_http/client/easy_transfer.cpp
@@ -98,14 +98,15 @@
   return Total;
 }
 
-// libcurl passes trailer fields on as header lines, too.
+// libcurl checks neither the status nor the names and values of fields. It
+// passes trailer fields on as header lines, too.
 bool easy_transfer::takeHeaderLine(std::string_view Line) {
-  if (IsHeadComplete)
-    return true;
   const bool IsStatusLine = Grammar.isAtStart();
   Grammar.feed(Line);
   if (Grammar.state() == head_state::Malformed)
     return false;
+  if (IsHeadComplete)
+    return true;
   if (Grammar.state() == head_state::Complete) {
     takeEndOfHead();
     return true;
@@ -118,11 +119,9 @@
     Line.remove_suffix(1);
   const std::size_t Colon = Line.find(':');
   if (Colon == Line.npos)
-    return true;
-  std::string_view Value = Line.substr(Colon + 1);
-  while (Value.starts_with(' '))
-    Value.remove_prefix(1);
-  Head.add(std::string(Line.substr(0, Colon)), std::string(Value));
+    return false;
+  Head.add(std::string(Line.substr(0, Colon)),
+           std::string(trimFieldValue(Line.substr(Colon + 1))));
   return true;
 }
 
@@ -131,7 +130,8 @@
   constexpr int FirstFinalStatus = 200;
   HeadStatus = Grammar.status();
   IsHeadComplete = HeadStatus >= FirstFinalStatus;
-  Grammar = head_grammar(head_start::StatusLine);
+  Grammar = head_grammar(IsHeadComplete ? head_start::Fields
+                                        : head_start::StatusLine);
   if (IsHeadComplete)
     Request.OnHead(HeadStatus, Head);
 }
--- a/modules/bw_http/client/easy_transfer.h
+++ b/modules/bw_http/client/easy_transfer.h
@@ -39,8 +39,8 @@
   static int limitSilence(void *Context, curl_socket_t Socket,
                           curlsocktype Purpose);
   void applyOptions();
-  /// Takes a line of a head, with its end. Returns false if the response breaks
-  /// the grammar.
+  /// Takes a line of a head or trailer, with its end. Returns false if the
+  /// response breaks the grammar.
   bool takeHeaderLine(std::string_view Line);
   void takeEndOfHead();
   void noteActivity();
--- a/modules/bw_http/messages/head_grammar.cpp
+++ b/modules/bw_http/messages/head_grammar.cpp
@@ -1,5 +1,7 @@
 #include "bw_http/messages/head_grammar.h"
 
+#include <algorithm>
+
 using namespace bw;
 
 namespace {
@@ -10,18 +12,25 @@
 
 bool isDigit(char Character) { return Character >= '0' && Character <= '9'; }
 
-// Of a reason: visible ASCII, blanks, and bytes above ASCII.
-bool isTextCharacter(char Character) {
+bool isTokenCharacter(char Character) {
+  constexpr std::string_view Symbols = "!#$%&'*+-.^_`|~";
+  return isDigit(Character) || (Character >= 'a' && Character <= 'z') ||
+         (Character >= 'A' && Character <= 'Z') ||
+         Symbols.find(Character) != Symbols.npos;
+}
+
+} // namespace
+
+bool bw::isTextCharacter(char Character) {
   constexpr unsigned char Delete = 0x7f;
   const auto Byte = static_cast<unsigned char>(Character);
   return (Byte >= ' ' && Byte != Delete) || Byte == '\t';
 }
 
-} // namespace
-
 head_grammar::head_grammar(head_start Start)
-    : Place(Start == head_start::StatusLine ? place::Version
-                                            : place::BeforeRequest) {}
+    : Place(Start == head_start::StatusLine    ? place::Version
+            : Start == head_start::RequestLine ? place::BeforeRequest
+                                               : place::LineStart) {}
 
 std::size_t head_grammar::feed(std::string_view Bytes) {
   std::size_t Taken = 0;
@@ -57,19 +66,25 @@
   case place::AfterStatus:
     return EndOr(Character == ' ' ? place::Reason : place::Malformed);
   case place::Reason:
+  case place::Value:
     return EndOr(isTextCharacter(Character) ? Place : place::Malformed);
   case place::BeforeRequest:
     // Servers ignore empty lines before a request (RFC 9112, 2.2).
-    return Character == '\r' || Character == '\n' ? Place
-                                                  : place::UncheckedLine;
-  case place::UncheckedLine:
+    return Character == '\r' || Character == '\n' ? Place : place::RequestLine;
+  case place::RequestLine:
     return EndOr(Place);
   case place::LineStart:
+    // A line that starts with a blank would continue the one before, which only
+    // obsolete senders do (RFC 9112, 5.2).
     if (Character == '\r')
       return place::HeadEnd;
     if (Character == '\n')
       return place::Complete;
-    return place::UncheckedLine;
+    return isTokenCharacter(Character) ? place::Name : place::Malformed;
+  case place::Name:
+    if (Character == ':')
+      return place::Value;
+    return isTokenCharacter(Character) ? Place : place::Malformed;
   case place::LineEnd:
     return Character == '\n' ? place::LineStart : place::Malformed;
   case place::HeadEnd:
@@ -104,3 +119,16 @@
   // No request asks for another protocol, so none is switched to.
   return Status == SwitchingProtocols ? place::Malformed : place::AfterStatus;
 }
+
+bool bw::isFieldValue(std::string_view Text) {
+  return trimFieldValue(Text).size() == Text.size() &&
+         std::all_of(Text.begin(), Text.end(), isTextCharacter);
+}
+
+std::string_view bw::trimFieldValue(std::string_view Value) {
+  constexpr std::string_view Blanks = " \t";
+  const std::size_t First = Value.find_first_not_of(Blanks);
+  if (First == Value.npos)
+    return {};
+  return Value.substr(First, Value.find_last_not_of(Blanks) - First + 1);
+}
--- a/modules/bw_http/messages/head_grammar.h
+++ b/modules/bw_http/messages/head_grammar.h
@@ -10,14 +10,15 @@
 /// What the bytes begin with.
 enum class head_start : std::uint8_t {
   StatusLine,  ///< The head of a response.
-  RequestLine, ///< The head of a request, which is not checked.
+  RequestLine, ///< The head of a request. Its first line is not checked.
+  Fields,      ///< A trailer section.
 };
 
 enum class head_state : std::uint8_t { Incomplete, Complete, Malformed };
 
-/// Checks the status line of an HTTP/1 message against RFC 9112, byte by byte,
-/// as the parsers accept more than its grammar. A single LF ends a line, too,
-/// and a status line may end with the status.
+/// Checks the head of an HTTP/1 message against RFC 9112, byte by byte, as the
+/// parsers accept more than its grammar. A single LF ends a line, too, and a
+/// status line may end with the status.
 class head_grammar {
 public:
   explicit head_grammar(head_start Start);
@@ -40,8 +41,10 @@
     AfterStatus,
     Reason,
     BeforeRequest,
-    UncheckedLine,
+    RequestLine,
     LineStart,
+    Name,
+    Value,
     LineEnd,
     HeadEnd,
     Complete,
@@ -57,6 +60,16 @@
   int Status = 0;
 };
 
+/// True for the characters of a field's value, of a reason and of a chunk
+/// extension: visible ASCII, blanks, and bytes above ASCII.
+bool isTextCharacter(char Character);
+
+/// True if the text can be the value of a field.
+bool isFieldValue(std::string_view Text);
+
+/// Returns the value without the blanks around it.
+std::string_view trimFieldValue(std::string_view Value);
+
 } // namespace bw
 
 #endif
--- a/modules/bw_testing/http/response_cases.h
+++ b/modules/bw_testing/http/response_cases.h
@@ -68,6 +68,45 @@
     {"a broken one behind an interim response",
      "HTTP/1.1 100 Continue\r\n\r\n" + withStatusLine("HTTP/1.1 000 None")}};
 
+inline const response_case BrokenFields[] = {
+    {"a blank in a name", withLines("X Y: b\r\n")},
+    {"a blank behind a name", withLines("X-Y : b\r\n")},
+    {"a tab behind a name", withLines("X-Y\t: b\r\n")},
+    {"a blank before a name", withLines(" X-Y: b\r\n")},
+    {"a control byte in a name", withLines("X\x01Y: b\r\n")},
+    {"DEL in a name", withLines("X\x7fY: b\r\n")},
+    {"a byte above ASCII in a name", withLines("X\xc3\xa9Y: b\r\n")},
+    {"a separator in a name", withLines("X(Y): b\r\n")},
+    {"no name", withLines(": b\r\n")},
+    {"no colon", withLines("X-Y\r\n")},
+    {"a control byte at the start of a value", withLines("X: \x01"
+                                                         "b\r\n")},
+    {"a control byte in a value", withLines("X: b\x01"
+                                            "c\r\n")},
+    {"DEL in a value", withLines("X: b\x7f"
+                                 "c\r\n")},
+    {"NUL in a value", withLines("X: b" + std::string(1, '\0') + "c\r\n")},
+    {"a bare CR in a value", withLines("X: b\rc\r\n")},
+    {"a folded value", withLines("X: b\r\n c\r\n")},
+    {"a value folded by a tab", withLines("X: b\r\n\tc\r\n")},
+    {"a folded value at the end of the head",
+     framed("Content-Length: 6\r\n Y: b\r\n", "result")},
+    {"a head that ends in a bare CR",
+     framed("Content-Length: 6\r\n\rX", "result")},
+    {"a blank in the name of the length",
+     framed("Content-Length : 6\r\n", "result")},
+    {"a blank in the name of the coding",
+     framed("Transfer-Encoding : chunked\r\n", "6\r\nresult\r\n0\r\n\r\n")},
+    {"a hidden length", framed("X: b\r\nContent-Length\x01: 3\r\n"
+                               "Content-Length: 6\r\n",
+                               "result")},
+    {"a refusal with a blank in a name",
+     withLines("Bw-Not-Run: 1\r\nX Y: b\r\n", "503 Full")},
+    {"a refusal whose mark has a blank in its name",
+     withLines("Bw-Not-Run : 1\r\n", "503 Full")},
+    {"a broken field in an interim response",
+     "HTTP/1.1 103 Early Hints\r\nX Y: b\r\n\r\n" + withLines("")}};
+
 } // namespace bw
 
 #endif
