Take bodies whose framing breaks the grammar for broken

A chunk longer than its length lost bytes of the body and was relayed as a success; a body in an unknown transfer coding was relayed as it was; an interim response, 204 or 304 with a length let the request wait for a body until its deadline.

Cause: http_parser, as Debian builds it, does not check what ends the data of a chunk, its length line or the trailer, and reads a body in an unknown coding until the connection ends. libcurl takes the last of two lengths.

Why this works: chunk_grammar checks the framing of chunked bodies and their trailers beside the parser, and findFramingFault refuses heads with several lengths, a length and a coding, a coding other than chunked, or one in HTTP/1.0, in both engines and for requests. Interim responses, 204 and 304 end with their head (RFC 9112, 6.3).

Not covered: text and control bytes behind the length of a chunk in the client of bramleywinchd and of the store. libcurl leaves them out without passing them on; the body is the server's.

--- a/modules/bw_forward/parser/http1_parser.cpp
+++ b/modules/bw_forward/parser/http1_parser.cpp
@@ -1,5 +1,6 @@
 #include "bw_forward/parser/http1_parser.h"
 
+#include "bw_forward/parser/chunk_grammar.h"
 #include "bw_http/messages/head_grammar.h"
 
 #include <http_parser.h>
@@ -54,6 +55,8 @@
     bool HasValue = false;
     /// The head is complete; further fields are trailer fields.
     bool IsHeadComplete = false;
+    /// The message has a body, and it is chunked.
+    bool IsChunked = false;
     std::size_t HeadSize = 0;
     std::size_t BodySize = 0;
     /// All bytes outside of the body.
@@ -126,19 +129,37 @@
     Head.IsChunked = (Parser->flags & F_CHUNKED) != 0;
     Head.KeepsConnection = http_should_keep_alive(Parser) != 0;
     Head.IsHttp10 = Parser->http_major == 1 && Parser->http_minor == 0;
-    return Self.Hooks.OnHead(std::move(Head)) ? 0 : 1;
+    if (findFramingFault(Head.Headers, Head.IsHttp10))
+      return StopParsing;
+    const bool IsBodiless =
+        Self.Side == http1_side::Response && isBodilessStatus(Head.Status);
+    Self.Message.IsChunked = Head.IsChunked;
+    if (Self.Hooks.OnHead(std::move(Head)) && !IsBodiless)
+      return 0;
+    Self.Message.IsChunked = false;
+    return SkipBody;
   }
 
   /// Checks the part of a block that belongs to the head, before http_parser
-  /// passes it on. Returns false if it breaks the grammar.
-  bool checkHead(std::string_view Block) {
-    HeadGrammar.feed(Block);
-    return HeadGrammar.state() != head_state::Malformed;
+  /// passes it on. Returns its size; nothing if it breaks the grammar.
+  std::optional<std::size_t> checkHead(std::string_view Block) {
+    if (HeadGrammar.state() == head_state::Complete)
+      return 0;
+    const std::size_t Size = HeadGrammar.feed(Block);
+    if (HeadGrammar.state() == head_state::Malformed)
+      return std::nullopt;
+    return Size;
+  }
+
+  /// Checks the framing of the part of a block behind the head.
+  bool checkBody(std::string_view Block) {
+    return !Message.IsChunked || Chunks.accepts(Block);
   }
 
   void beginMessage() {
     Message = {};
     HeadGrammar = grammarOf(Side);
+    Chunks = {};
   }
 
   static int onBody(http_parser *Parser, const char *Data, std::size_t Size) {
@@ -163,12 +184,17 @@
     return 0;
   }
 
+  // Results of the hook of http_parser that follows the head.
+  static constexpr int SkipBody = 1;
+  static constexpr int StopParsing = -1;
+
   const http1_side Side;
   http1_parser_hooks Hooks;
   http_parser Parser{};
   http_parser_settings Callbacks{};
   message_state Message;
   head_grammar HeadGrammar;
+  chunk_grammar Chunks;
   bool IsInMessage = false;
   bool IsComplete = false;
   bool IsHeadTooBig = false;
@@ -193,13 +219,15 @@
     return {};
   implementation &Self = *Implementation;
   Self.IsComplete = false;
-  if (!Self.checkHead(Bytes))
+  const std::optional<std::size_t> HeadPart = Self.checkHead(Bytes);
+  if (!HeadPart)
     return {.Status = parse_status::Malformed, .Taken = 0};
   const std::size_t Taken = http_parser_execute(&Self.Parser, &Self.Callbacks,
                                                 Bytes.data(), Bytes.size());
   if (Self.IsHeadTooBig)
     return {.Status = parse_status::HeadTooBig, .Taken = Taken};
-  if (!Self.addToFraming(Taken))
+  if (!Self.addToFraming(Taken) || Taken < *HeadPart ||
+      !Self.checkBody(Bytes.substr(*HeadPart, Taken - *HeadPart)))
     return {.Status = parse_status::Malformed, .Taken = Taken};
   if (Self.IsComplete) {
     Self.beginMessage();
--- a/modules/bw_forward/parser/http1_parser.h
+++ b/modules/bw_forward/parser/http1_parser.h
@@ -36,7 +36,8 @@
 enum class parse_status : std::uint8_t {
   NeedsMore,  ///< All bytes were consumed; the message is incomplete.
   Complete,   ///< A message ended; bytes after it were not consumed.
-  Malformed,  ///< The bytes are not valid HTTP/1, or are mostly framing.
+  Malformed,  ///< The bytes are not valid HTTP/1 (RFC 9112), cannot be
+              ///< delimited without doubt, or are mostly framing.
   HeadTooBig, ///< The head exceeds the limit.
 };
 
--- a/modules/bw_forward/parser/http1_parser_test.cpp
+++ b/modules/bw_forward/parser/http1_parser_test.cpp
@@ -85,6 +85,12 @@
      "GET / HTTP/1.1\r\nHost: a\r\nX: b\r\n c\r\n\r\n"},
     {"a control byte at the start of a value is accepted", http1_side::Request,
      "GET / HTTP/1.1\r\nHost: a\r\nX: \x01\r\n\r\n"},
+    {"an unknown coding in chunks is accepted", http1_side::Request,
+     "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n"
+     "\r\n0\r\n\r\n"},
+    {"a chunk longer than its length is accepted", http1_side::Request,
+     "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "2\r\nabXX0\r\n\r\n"},
     {"a hidden chunked coding is accepted", http1_side::Request,
      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
      "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n"},
@@ -97,6 +103,7 @@
   CPPUNIT_TEST(parsesPipelinedRequestsInAnySegmentation);
   CPPUNIT_TEST(stopsAtTheEndOfAMessage);
   CPPUNIT_TEST(rejectsMalformedMessages);
+  CPPUNIT_TEST(readsValidResponsesInAnySegmentation);
   CPPUNIT_TEST(limitsHeadSize);
   CPPUNIT_TEST(endOfConnectionEndsABodyWithoutLength);
   CPPUNIT_TEST(endOfConnectionDoesNotCompleteAShortBody);
@@ -146,11 +153,29 @@
       expectMalformed(Case.Side, Case.Failure, Case.Bytes);
     for (const std::span<const response_case> Cases :
          {std::span<const response_case>(BrokenStatusLines),
-          std::span<const response_case>(BrokenFields)})
+          std::span<const response_case>(BrokenFields),
+          std::span<const response_case>(BrokenFraming),
+          std::span<const response_case>(BrokenChunkExtensions)})
       for (const response_case &Case : Cases)
         expectMalformed(http1_side::Response, Case.Name, Case.Bytes);
   }
 
+  // Guards against a check that depends on how the bytes are segmented.
+  void readsValidResponsesInAnySegmentation() {
+    for (const response_case &Case : ValidResponses)
+      for (const std::size_t PieceSize : {1U, 2U, 7U, 1000U}) {
+        message_recorder Responses(http1_side::Response);
+        CPPUNIT_ASSERT_MESSAGE(Case.Name,
+                               Responses.feed(Case.Bytes, PieceSize) ==
+                                   parse_status::Complete);
+        const parsed_message &Last = Responses.Messages.back();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Case.Name, std::string("result"),
+                                     Last.Body);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Case.Name, std::string("r1"),
+                                     *Last.Head.Headers.find("Bw-Request-Id"));
+      }
+  }
+
   // Guards against unbounded memory use by large heads.
   void limitsHeadSize() {
     message_recorder Requests(http1_side::Request);
--- a/modules/bw_forward/servers/message_encoding.cpp
+++ b/modules/bw_forward/servers/message_encoding.cpp
@@ -1,5 +1,6 @@
 #include "bw_forward/callers/authorization_field.h"
 #include "bw_forward/servers/server_attempt.h"
+#include "bw_http/messages/head_grammar.h"
 
 #include <algorithm>
 #include <charconv>
@@ -8,6 +9,8 @@
 
 namespace {
 
+constexpr int NoContent = 204;
+
 void addField(std::string &Out, std::string_view Name, std::string_view Value) {
   Out.append(Name).append(": ").append(Value).append("\r\n");
 }
@@ -44,7 +47,7 @@
 }
 
 bool hasNoBody(std::string_view Method, int Status) {
-  return Method == "HEAD" || Status == 204 || Status == 304;
+  return Method == "HEAD" || isBodilessStatus(Status);
 }
 
 std::string hexadecimal(std::size_t Number) {
@@ -126,7 +129,9 @@
     addField(Out, "Transfer-Encoding", "chunked");
     break;
   case body_framing::None:
-    if (Head.ContentLength)
+    // The length of what the same request would get otherwise. A 204 has none
+    // (RFC 9110, 8.6).
+    if (Head.ContentLength && Head.Status != NoContent)
       addField(Out, "Content-Length", std::to_string(*Head.ContentLength));
     break;
   case body_framing::Close:
--- a/modules/bw_forward/service/broken_answers_test.cpp
+++ b/modules/bw_forward/service/broken_answers_test.cpp
@@ -19,6 +19,10 @@
   CPPUNIT_TEST_SUITE(broken_answers_test);
   CPPUNIT_TEST(brokenStatusLinesAreNoAnswer);
   CPPUNIT_TEST(brokenFieldsAreNoAnswer);
+  CPPUNIT_TEST(brokenFramingIsNoAnswer);
+  CPPUNIT_TEST(validAnswersPass);
+  CPPUNIT_TEST(bodilessAnswersEndWithTheirHead);
+  CPPUNIT_TEST(brokenFramingOfARelayedAnswerResetsTheCaller);
   CPPUNIT_TEST(resetDuringAnUploadEndsNoAnswer);
   CPPUNIT_TEST(resetDuringAnUploadAbortsARelayedAnswer);
   CPPUNIT_TEST(earlyAnswerThatEndsInOrderIsComplete);
@@ -33,6 +37,76 @@
   // this host, and against a body of another length than the server's.
   void brokenFieldsAreNoAnswer() { expectBroken(BrokenFields); }
 
+  // Guards against a body that is not the server's: cut, extended or encoded.
+  void brokenFramingIsNoAnswer() {
+    expectBroken(BrokenFraming);
+    expectBroken(BrokenChunkExtensions);
+  }
+
+  // Guards against a check that refuses what the grammar allows, or what it
+  // lets a recipient accept.
+  void validAnswersPass() {
+    std::string Failed;
+    for (const response_case &Case : ValidResponses) {
+      const auto Arrived = request("r1", "GET");
+      const auto Connection = answerWith(Arrived, Case.Bytes);
+      const auto Ended = nextEnd();
+      if (!Ended || Ended->Outcome != attempt_outcome::Answered ||
+          Ended->Bytes != byte_count(6)) {
+        Failed += std::string(Case.Name) + "; ";
+        continue;
+      }
+      command(
+          relay_answer{.Request = Arrived.Request, .Attempt = Ended->Attempt});
+      if (Caller->readUntil("result").empty())
+        Failed += std::string(Case.Name) + " (not relayed); ";
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), Failed);
+  }
+
+  // Guards against waiting for a body that no response of this kind has.
+  void bodilessAnswersEndWithTheirHead() {
+    const struct {
+      const char *Method;
+      const char *Status;
+      const char *Lines;
+    } Cases[] = {{"GET", "204 No Content", ""},
+                 {"GET", "204 No Content", "Content-Length: 6\r\n"},
+                 {"GET", "304 Not Modified", "Content-Length: 6\r\n"},
+                 {"GET", "304 Not Modified", ""},
+                 {"HEAD", "200 OK", "Content-Length: 6\r\n"},
+                 {"HEAD", "200 OK", "Transfer-Encoding: chunked\r\n"}};
+    std::string Failed;
+    for (const auto &Case : Cases) {
+      const auto Arrived = request("r1", Case.Method);
+      const auto Connection = answerWith(
+          Arrived, std::string("HTTP/1.1 ") + Case.Status +
+                       "\r\nBw-Request-Id: r1\r\n" + Case.Lines + "\r\n");
+      const auto Ended = nextEnd();
+      if (!Ended || !Ended->IsComplete || Ended->Bytes != byte_count())
+        Failed += std::string(Case.Method) + " " + Case.Status + " " +
+                  Case.Lines + "; ";
+      finish(Arrived);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), Failed);
+  }
+
+  // Guards against a success for a long answer whose framing breaks after a
+  // part of it was relayed.
+  void brokenFramingOfARelayedAnswerResetsTheCaller() {
+    const auto Arrived = request("r1", "GET");
+    const auto Connection =
+        answerWith(Arrived, chunked("186a0\r\n" + std::string(100'000, 'x')));
+    CPPUNIT_ASSERT(!Decide->next<attempt_ended>().IsComplete);
+    command(
+        relay_answer{.Request = Arrived.Request, .Attempt = attempt_number(1)});
+    Caller->readUntil("xxx");
+    Connection->write("XX0\r\n\r\n");
+    CPPUNIT_ASSERT(!Decide->next<relay_ended>().IsComplete);
+    expectCallerCut();
+    CPPUNIT_ASSERT(Caller->WasReset);
+  }
+
   // Guards against a reset that a pending write takes note of, so that the end
   // of the connection looks like an orderly one and ends the answer.
   void resetDuringAnUploadEndsNoAnswer() {
--- a/modules/bw_http/client/easy_transfer.cpp
+++ b/modules/bw_http/client/easy_transfer.cpp
@@ -107,12 +107,11 @@
     return false;
   if (IsHeadComplete)
     return true;
-  if (Grammar.state() == head_state::Complete) {
-    takeEndOfHead();
-    return true;
-  }
+  if (Grammar.state() == head_state::Complete)
+    return takeEndOfHead();
   if (IsStatusLine) {
     Head = {};
+    IsHttp10 = Line.starts_with("HTTP/1.0");
     return true;
   }
   while (Line.ends_with('\r') || Line.ends_with('\n'))
@@ -126,14 +125,17 @@
 }
 
 // Interim responses (1xx) are followed by the final head.
-void easy_transfer::takeEndOfHead() {
+bool easy_transfer::takeEndOfHead() {
   constexpr int FirstFinalStatus = 200;
+  if (findFramingFault(Head, IsHttp10))
+    return false;
   HeadStatus = Grammar.status();
   IsHeadComplete = HeadStatus >= FirstFinalStatus;
   Grammar = head_grammar(IsHeadComplete ? head_start::Fields
                                         : head_start::StatusLine);
   if (IsHeadComplete)
     Request.OnHead(HeadStatus, Head);
+  return true;
 }
 
 std::size_t easy_transfer::receiveBody(char *Data, std::size_t Size,
--- a/modules/bw_http/client/easy_transfer.h
+++ b/modules/bw_http/client/easy_transfer.h
@@ -42,7 +42,7 @@
   /// Takes a line of a head or trailer, with its end. Returns false if the
   /// response breaks the grammar.
   bool takeHeaderLine(std::string_view Line);
-  void takeEndOfHead();
+  bool takeEndOfHead();
   void noteActivity();
 
   client_request Request;
@@ -50,6 +50,7 @@
   curl_slist *HeaderList = nullptr;
   int HeadStatus = 0;
   http_headers Head;
+  bool IsHttp10 = false;
   head_grammar Grammar{head_start::StatusLine};
   bool IsHeadComplete = false;
   /// Bytes of all heads of the response and of its trailer.
--- a/modules/bw_http/client/http_client_test.cpp
+++ b/modules/bw_http/client/http_client_test.cpp
@@ -133,6 +133,8 @@
   CPPUNIT_TEST(endlessResponsesAreBroken);
   CPPUNIT_TEST(brokenStatusLinesAreNoResponse);
   CPPUNIT_TEST(brokenFieldsAreNoResponse);
+  CPPUNIT_TEST(brokenFramingIsNoResponse);
+  CPPUNIT_TEST(validResponsesPass);
   CPPUNIT_TEST(resetEndsNoResponse);
   CPPUNIT_TEST_SUITE_END();
 
@@ -427,6 +429,25 @@
   // Guards against fields that are read differently by the next recipient.
   void brokenFieldsAreNoResponse() { expectBroken(BrokenFields); }
 
+  // Guards against a body that is cut, extended or encoded.
+  void brokenFramingIsNoResponse() { expectBroken(BrokenFraming); }
+
+  // Guards against a check that refuses what the grammar allows, or what it
+  // lets a recipient accept.
+  void validResponsesPass() {
+    std::string Failed;
+    for (const response_case &Case : ValidResponses) {
+      const raw_server Server(Case.Bytes);
+      const call_result Result = callHttp({.Url = Server.url()});
+      if (Result.Transfer.Status != transfer_status::Complete ||
+          Result.Transfer.HttpStatus < 200 ||
+          Result.Response.Body != "result" ||
+          Result.Response.Headers.find("Bw-Request-Id") != "r1")
+        Failed += std::string(Case.Name) + "; ";
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), Failed);
+  }
+
   // Guards against a response without a length that a reset seems to end, also
   // while the request is being written.
   void resetEndsNoResponse() {
--- a/modules/bw_http/messages/head_grammar.cpp
+++ b/modules/bw_http/messages/head_grammar.cpp
@@ -1,6 +1,7 @@
 #include "bw_http/messages/head_grammar.h"
 
 #include <algorithm>
+#include <charconv>
 
 using namespace bw;
 
@@ -19,6 +20,14 @@
          Symbols.find(Character) != Symbols.npos;
 }
 
+// Decimal digits that fit into 64 bits.
+bool isLength(std::string_view Text) {
+  std::uint64_t Number = 0;
+  const char *End = Text.data() + Text.size();
+  const auto [Stop, Code] = std::from_chars(Text.data(), End, Number);
+  return Code == std::errc() && Stop == End;
+}
+
 } // namespace
 
 bool bw::isTextCharacter(char Character) {
@@ -120,6 +129,28 @@
   return Status == SwitchingProtocols ? place::Malformed : place::AfterStatus;
 }
 
+std::optional<std::string_view>
+bw::findFramingFault(const http_headers &Headers, bool IsHttp10) {
+  std::size_t Lengths = 0;
+  std::size_t Codings = 0;
+  for (const http_header &Field : Headers.fields()) {
+    if (equalsIgnoringCase(Field.Name, "Content-Length")) {
+      ++Lengths;
+      if (!isLength(Field.Value))
+        return "the length is not a number";
+    } else if (equalsIgnoringCase(Field.Name, "Transfer-Encoding")) {
+      ++Codings;
+      if (!equalsIgnoringCase(Field.Value, "chunked"))
+        return "the transfer coding is unknown";
+    }
+  }
+  if (Lengths > 1 || Codings > 1 || (Lengths > 0 && Codings > 0))
+    return "the length of the body is ambiguous";
+  if (Codings > 0 && IsHttp10)
+    return "HTTP/1.0 has no transfer codings";
+  return std::nullopt;
+}
+
 bool bw::isFieldValue(std::string_view Text) {
   return trimFieldValue(Text).size() == Text.size() &&
          std::all_of(Text.begin(), Text.end(), isTextCharacter);
@@ -132,3 +163,10 @@
     return {};
   return Value.substr(First, Value.find_last_not_of(Blanks) - First + 1);
 }
+
+bool bw::isBodilessStatus(int Status) {
+  constexpr int FirstFinal = 200;
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  return Status < FirstFinal || Status == NoContent || Status == NotModified;
+}
--- a/modules/bw_http/messages/head_grammar.h
+++ b/modules/bw_http/messages/head_grammar.h
@@ -1,8 +1,10 @@
 #ifndef BW_HTTP_MESSAGES_HEAD_GRAMMAR_H
 #define BW_HTTP_MESSAGES_HEAD_GRAMMAR_H
 
-#include <cstddef>
+#include "bw_http/messages/http_messages.h"
+
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace bw {
@@ -60,6 +62,11 @@
   int Status = 0;
 };
 
+/// Returns why the body of a message with this head cannot be delimited without
+/// doubt or decoded (RFC 9112, 6); nothing if it can.
+std::optional<std::string_view> findFramingFault(const http_headers &Headers,
+                                                 bool IsHttp10);
+
 /// True for the characters of a field's value, of a reason and of a chunk
 /// extension: visible ASCII, blanks, and bytes above ASCII.
 bool isTextCharacter(char Character);
@@ -70,6 +77,10 @@
 /// Returns the value without the blanks around it.
 std::string_view trimFieldValue(std::string_view Value);
 
+/// True for a response that ends with its head, whatever its fields say
+/// (RFC 9112, 6.3). A response to HEAD does so as well.
+bool isBodilessStatus(int Status);
+
 } // namespace bw
 
 #endif
--- a/modules/bw_testing/http/response_cases.h
+++ b/modules/bw_testing/http/response_cases.h
@@ -107,6 +107,87 @@
     {"a broken field in an interim response",
      "HTTP/1.1 103 Early Hints\r\nX Y: b\r\n\r\n" + withLines("")}};
 
+inline const response_case BrokenFraming[] = {
+    {"no length in the field", framed("Content-Length:\r\n", "result")},
+    {"a length that is no number", framed("Content-Length: six\r\n", "result")},
+    {"a negative length", framed("Content-Length: -6\r\n", "result")},
+    {"a length with a sign", framed("Content-Length: +6\r\n", "result")},
+    {"a list of lengths", framed("Content-Length: 6, 6\r\n", "result")},
+    {"two lengths",
+     framed("Content-Length: 6\r\nContent-Length: 3\r\n", "result")},
+    {"a length above 64 bits",
+     framed("Content-Length: 99999999999999999999\r\n", "result")},
+    {"a length and chunks",
+     framed("Content-Length: 6\r\nTransfer-Encoding: chunked\r\n",
+            "6\r\nresult\r\n0\r\n\r\n")},
+    {"an unknown coding", framed("Transfer-Encoding: gzip\r\n", "result")},
+    {"an unknown coding in chunks",
+     framed("Transfer-Encoding: gzip, chunked\r\n",
+            "6\r\nresult\r\n0\r\n\r\n")},
+    {"a coding behind chunks", framed("Transfer-Encoding: chunked, gzip\r\n",
+                                      "6\r\nresult\r\n0\r\n\r\n")},
+    {"a coding that ends like chunked",
+     framed("Transfer-Encoding: xchunked\r\n", "6\r\nresult\r\n0\r\n\r\n")},
+    {"chunks in chunks",
+     framed("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+            "6\r\nresult\r\n0\r\n\r\n")},
+    {"chunks in HTTP/1.0", framed("Transfer-Encoding: chunked\r\n",
+                                  "6\r\nresult\r\n0\r\n\r\n", "1.0")},
+    {"a chunk longer than its length", chunked("6\r\nresultXX0\r\n\r\n")},
+    {"a chunk that swallows the next", chunked("3\r\nresult\r\n0\r\n\r\n")},
+    {"a chunk that ends in a bare CR", chunked("6\r\nresult\rX0\r\n\r\n")},
+    {"a length line that ends in a bare CR",
+     chunked("6\rXresult\r\n0\r\n\r\n")},
+    {"no chunk length", chunked("\r\nresult\r\n0\r\n\r\n")},
+    {"a chunk length that is no number", chunked("x\r\nresult\r\n0\r\n\r\n")},
+    {"a negative chunk length", chunked("-6\r\nresult\r\n0\r\n\r\n")},
+    {"a chunk length with a prefix", chunked("0x6\r\nresult\r\n0\r\n\r\n")},
+    {"a chunk length above 64 bits",
+     chunked("fffffffffffffffff\r\nresult\r\n0\r\n\r\n")},
+    {"a bare LF in a chunk extension",
+     chunked("6;a\nb\r\nresult\r\n0\r\n\r\n")},
+    {"a trailer line without a colon",
+     chunked("6\r\nresult\r\n0\r\nbad\r\n\r\n")},
+    {"a status line in a trailer",
+     chunked("6\r\nresult\r\n0\r\nHTTP/1.1 404 Gone: 1\r\n\r\n")},
+    {"a status line before a field in a trailer",
+     chunked("6\r\nresult\r\n0\r\nHTTP/1.1 404 Gone: 1\r\nX-Own: 2\r\n\r\n")},
+    {"a blank in the name of a trailer field",
+     chunked("6\r\nresult\r\n0\r\nX Y: b\r\n\r\n")},
+    {"a control byte in a trailer field",
+     chunked("6\r\nresult\r\n0\r\nX: \x01\r\n\r\n")},
+    {"a trailer that ends in a bare CR", chunked("6\r\nresult\r\n0\r\n\rX")}};
+
+// libcurl leaves such text out, without a change to the body.
+inline const response_case BrokenChunkExtensions[] = {
+    {"text behind a chunk length", chunked("6 x\r\nresult\r\n0\r\n\r\n")},
+    {"a control byte in a chunk extension",
+     chunked("6;a=\x01\r\nresult\r\n0\r\n\r\n")}};
+
+inline const response_case ValidResponses[] = {
+    {"no reason", withStatusLine("HTTP/1.1 200 ")},
+    {"no reason and no blank", withStatusLine("HTTP/1.1 200")},
+    {"a reason in another script", withStatusLine("HTTP/1.1 200 \xc3\xa9\t!")},
+    {"an unassigned status", withStatusLine("HTTP/1.1 299 Odd")},
+    {"the highest status", withStatusLine("HTTP/1.1 599 Odd")},
+    {"version 1.0", withStatusLine("HTTP/1.0 200 OK")},
+    {"a single LF behind each line", "HTTP/1.1 200 OK\nBw-Request-Id: r1\n"
+                                     "Content-Length: 6\n\nresult"},
+    {"an empty value", withLines("X:\r\nY: \t \r\n")},
+    {"a value in another script", withLines("X: \xc3\xa9\xff\r\n")},
+    {"tabs and blanks around a value", withLines("X:\t b c\t \r\n")},
+    {"every character of a name", withLines("!#$%&'*+-.^_`|~0aZ: b\r\n")},
+    {"interim responses", "HTTP/1.1 100 Continue\r\n\r\n"
+                          "HTTP/1.1 103 Early Hints\r\nX: b\r\n\r\n" +
+                              withLines("")},
+    {"an interim response with a length",
+     "HTTP/1.1 103 Early Hints\r\nContent-Length: 6\r\n\r\n" + withLines("")},
+    {"chunks", chunked("3\r\nres\r\n3\r\nult\r\n0\r\n\r\n")},
+    {"chunk extensions and a trailer",
+     chunked("006;a=\"b;c\" ;d\r\nresult\r\n0 ;e\r\nX-T: \xff\r\n\r\n")},
+    {"a coding in capitals",
+     framed("transfer-encoding: Chunked\r\n", "6\r\nresult\r\n0\r\n\r\n")}};
+
 } // namespace bw
 
 #endif
