--- a/modules/bw_emulator/servers/emulated_server.cpp
+++ b/modules/bw_emulator/servers/emulated_server.cpp
@@ -161,6 +161,15 @@
         {.Status = ServerError, .Headers = Headers, .Body = {}});
   if (Random.chance(Now.EndlessShare))
     return answerEndlessly(Request, std::move(Headers));
+  if (Random.chance(Now.MalformedShare)) {
+    constexpr int Ok = 200;
+    const bool HasStatus = Random.chance(0.5);
+    if (HasStatus)
+      Headers.add("Not a name", "1");
+    return Request.Exchange->respond({.Status = HasStatus ? Ok : 0,
+                                      .Headers = std::move(Headers),
+                                      .Body = "not the body"});
+  }
   std::string Body =
       emulatedBody(Request.Label, Asked.Path, bodySize(Asked.Path));
   if (!Random.chance(Now.TruncateShare))
--- a/modules/bw_emulator/servers/emulated_server.h
+++ b/modules/bw_emulator/servers/emulated_server.h
@@ -40,6 +40,8 @@
   double TruncateShare = 0;
   /// Answers and refusals whose body does not end before the caller closes.
   double EndlessShare = 0;
+  /// Answers with a head that is not valid, and another body.
+  double MalformedShare = 0;
   double SlowFactor = 1;
 };
 
--- a/modules/bw_emulator/servers/emulated_server_test.cpp
+++ b/modules/bw_emulator/servers/emulated_server_test.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(faultsAreInjected);
   CPPUNIT_TEST(aFullQueueDeclines);
   CPPUNIT_TEST(endlessAnswersDoNotEnd);
+  CPPUNIT_TEST(malformedAnswersAreBroken);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -83,6 +84,14 @@
                      transfer_status::Broken);
   }
 
+  // The same for malformed ones.
+  void malformedAnswersAreBroken() {
+    Server->setFaults({.MalformedShare = 1});
+    for (int Count = 0; Count < 4; ++Count)
+      CPPUNIT_ASSERT(call("s1", "/a").Transfer.Status ==
+                     transfer_status::Broken);
+  }
+
 private:
   void start(emulated_server_options Options) {
     Options.OnArrival = [this](const server_arrival &Each) {
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -49,6 +49,11 @@
   struct started_store : platform::store_service {
     explicit started_store(runtime_clock &Clock) : store_service(Clock) {
       start();
+      // Lists of several pages, some of which end with other writers' objects.
+      setPageSize(2);
+      for (const char *Kind : {"servers", "config", "bramleywinch-hosts"})
+        for (const char *Name : {"a&b", "h+", "host 1", "s#", "s-1%2", "zz"})
+          writeObject(Kind, Name, R"({"owner":"other"})");
     }
   };
 
--- a/tests/soak/soak_servers.cpp
+++ b/tests/soak/soak_servers.cpp
@@ -82,6 +82,8 @@
     Faults.DeclineShare = 0.6;
   else if (Kind == 3 && mixHash(Course.Options.Seed, FaultNumber) % 2 == 0)
     Faults.EndlessShare = 0.3;
+  else if (Kind == 3 && mixHash(Course.Options.Seed, FaultNumber) % 4 == 1)
+    Faults.MalformedShare = 0.4;
   else if (Kind == 3)
     Faults.TruncateShare = 0.4;
   else
