Second review: report, and an exit code of its own for faults of a script

Cause: an unexpected error in a script would have exited with 1, which says that the rule was broken.

--- a/review/lab2.py
+++ b/review/lab2.py
@@ -571,6 +571,10 @@
     except asyncio.TimeoutError:
         record("could not run: over 115 s")
         return 2
+    except Exception as failure:  # a fault of the script is no verdict
+        record("could not run: %r" % failure)
+        print("could not run: %r" % failure)
+        return 2
     finally:
         if os.environ.get("KEEP_LOGS"):
             print("logs in " + temporary)
