--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,9 +1,8 @@
-"""Clients outside of our control begin requests whose heads have many short
-fields and do not finish them. The platform ends the process at its memory."""
+"""Another writer keeps odd entries beside those of the instances. The platform
+ends each process that exceeds its memory, and starts it again."""
 import asyncio
 import pathlib
 import signal
-import socket
 import sys
 import time
 
@@ -11,13 +10,15 @@
 from lab3 import *  # noqa: E402,F403
 
 MEMORY_MB = 260
+GATEWAYS = 4
 CALLERS = 40
 WORK_S = 0.45
-CROWD = 1500
-# 13.0 KB on the wire, under the 16,384 bytes of `header_bytes`.
-HEAD = (b"GET /read/1 HTTP/1.1\r\nHost: " + HOST.encode() + b"\r\n" +
-        b"a:\r\n" * 3200)
-WATCHED_S = 8
+ENTRIES = 8
+# Lists in lists, 30 deep: 1,037,000 bytes of the 1,048,576 of `value_bytes`.
+ODD = "[" + ",".join(["[" * 30 + "]" * 30] * 17_000) + "]"
+INTERVAL_S = 1.5
+WATCHED_S = 30
+RESTART_S = 1.0
 
 
 async def submit(record, gateway, results):
@@ -36,7 +37,7 @@
                 results[label] = "open"
                 writer.write(request_bytes("POST", "/post/1", label, 8000,
                                            b"entry=rice&amount=2"))
-                record("caller sends %s" % label)
+                record("caller sends %s to %s" % (label, gateway.name))
                 try:
                     status, _, _ = await read_response(reader)
                 except STREAM_ENDS as failure:
@@ -51,75 +52,64 @@
             writer.close()
 
 
-async def crowd(record, gateway):
-    """Clients that send most of a head each, within two seconds."""
-    clients = []
-    for number in range(CROWD):
-        client = socket.socket()
-        client.setblocking(False)
-        try:
-            client.connect((gateway.ip, gateway.front))
-        except BlockingIOError:
-            pass
-        clients.append(client)
-        if number % 50 == 49:
-            await asyncio.sleep(0.02)
-    record("%d clients are connected" % len(clients))
-    sent = 0
-    for number, client in enumerate(clients):
-        try:
-            sent += client.send(HEAD)
-        except OSError:
-            pass
-        if number % 50 == 49:
-            await asyncio.sleep(0.02)
-    record("the clients have sent %d bytes" % sent)
-    return clients
+async def keep_odd_entries(record, store):
+    """Writes the entries as often as an instance does."""
+    store.texts["odd text"] = ODD
+    while True:
+        for number in range(ENTRIES):
+            store.write("servers", "another-%d" % number, "odd text")
+        record("another writer has written %d entries of %d bytes" %
+               (ENTRIES, len(ODD)))
+        await asyncio.sleep(INTERVAL_S)
+
+
+async def run_by_platform(record, gateway, ends):
+    """DEPLOY.md: a process that exceeds `memory_mb` is killed; a process that
+    is killed is started again after a short delay."""
+    while True:
+        await asyncio.sleep(0.02)
+        held = gateway.memory()
+        if held > MEMORY_MB * 1024 * 1024:
+            record("%s holds %d bytes: the platform kills it" %
+                   (gateway.name, held))
+            gateway.signal(signal.SIGKILL)
+            gateway.process.wait()
+        if gateway.process.poll() is not None:
+            ends[gateway.name] = ends.get(gateway.name, 0) + 1
+            await asyncio.sleep(RESTART_S)
+            gateway.log.close()
+            gateway.start()
 
 
 async def case(record, deployment, trouble):
-    need_descriptors(CROWD + 500)
-    instances = [Instance(deployment.store, record, "diary", work=WORK_S)
+    store = deployment.store
+    instances = [Instance(store, record, "diary", work=WORK_S)
                  for _ in range(8)]
     await deployment.start(
         {"diary": instances},
-        [route("r-1", "/read/", "diary", "safe"),
-         route("r-2", "/post/", "diary", "unsafe")], memory_mb=MEMORY_MB)
-    gateway = deployment.gateways[0]
-    results = {}
-    callers = [asyncio.create_task(submit(record, gateway, results))
-               for _ in range(CALLERS)]
+        [route("r-2", "/post/", "diary", "unsafe")], gateways=GATEWAYS,
+        memory_mb=MEMORY_MB)
+    results, ends = {}, {}
+    tasks = [asyncio.create_task(submit(
+        record, deployment.gateways[number % GATEWAYS], results))
+        for number in range(CALLERS)]
+    tasks += [asyncio.create_task(run_by_platform(record, each, ends))
+              for each in deployment.gateways]
     await asyncio.sleep(3)
-    clients = []
-    strangers = None
     if trouble:
-        strangers = asyncio.create_task(crowd(record, gateway))
-    highest = 0
-    end = time.monotonic() + WATCHED_S
-    while time.monotonic() < end and gateway.process.poll() is None:
-        await asyncio.sleep(0.02)
-        highest = max(highest, gateway.memory())
-        if highest > MEMORY_MB * 1024 * 1024:
-            # DEPLOY.md: a process that exceeds `memory_mb` is killed.
-            record("the gateway holds %d bytes: the platform kills it" %
-                   highest)
-            gateway.signal(signal.SIGKILL)
-            gateway.process.wait()
-    await asyncio.sleep(0.5)
-    for each in callers:
+        tasks.append(asyncio.create_task(keep_odd_entries(record, store)))
+    await asyncio.sleep(WATCHED_S)
+    for each in tasks:
         each.cancel()
-    await asyncio.gather(*callers, return_exceptions=True)
-    if strangers is not None and strangers.done():
-        clients = strangers.result()
-    for each in clients:
-        each.close()
+    await asyncio.gather(*tasks, return_exceptions=True)
     ran = {label for each in instances for label in each.runs}
     lost = [label for label, result in results.items()
             if result == "closed" and label in ran]
     answered = sum(result == 200 for result in results.values())
-    record("most memory %.1f MB of %d MB; %d submissions answered; %d were "
-           "passed on to a sound instance and got no answer" %
-           (highest / 2**20, MEMORY_MB, answered, len(lost)))
+    record("ends of processes: %s; %d submissions answered; %d were passed on "
+           "to a sound instance and got no answer" %
+           (" ".join("%s %d" % each for each in sorted(ends.items())) or
+            "none", answered, len(lost)))
     if answered == 0:
         raise CannotRun("no submission was answered")
     return len(lost) <= 3
--- a/review/lab3.py
+++ b/review/lab3.py
@@ -88,6 +88,14 @@
         self.revision = 100
         self.events = []
         self.changed = asyncio.Event()
+        # Texts that stand for themselves in place of a value.
+        self.texts = {}
+
+    def encode(self, content):
+        result = json.dumps(content)
+        for name, text in self.texts.items():
+            result = result.replace(json.dumps(name), text)
+        return result
 
     async def start(self, address):
         self.server = await asyncio.start_server(
@@ -144,7 +152,12 @@
         if method == "GET" and name is None:
             names = sorted(n for k, n in self.objects
                            if k == kind and n > query.get("after", ""))
-            page = names[:500]
+            page, size = [], 0
+            for each in names[:500]:
+                size += len(self.encode(self.objects[kind, each]))
+                if page and size > 1_000_000:
+                    break
+                page.append(each)
             return 200, {"items": [self.objects[kind, n] for n in page],
                          "more": len(names) > len(page),
                          "current_rev": self.revision}
@@ -183,7 +196,7 @@
                     int(head.get("content-length", "0")))
                 method, target = head.first.split(" ")[:2]
                 status, content = await self.answer(method, target, body)
-                text = json.dumps(content).encode()
+                text = self.encode(content).encode()
                 writer.write(b"HTTP/1.1 %d Status\r\nContent-Type: "
                              b"application/json\r\nContent-Length: %d\r\n\r\n"
                              % (status, len(text)) + text)
@@ -427,6 +440,7 @@
     def stop(self):
         if self.process is None:
             return
+        self.log.close()
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
         self.process.wait()
