Read what is used of the store's lists, not all that others write

Callers saw: 60 to 170 submissions that had run got no answer in 30 s while another writer kept eight odd entries of 1 MB beside those of the servers. The gateways that read the list exceeded 260 MB one after the other.

Cause: the client of the store held each response of up to 8 MB and made one JSON tree of it. Eight entries of 1 MB took 8.0 MB as text, and up to 325.3 MB beside it as a tree (lists in lists). The limit on the length of a list counted entries that nobody uses.

One call reads 32 MB of a list and the next one reads on; the list in use follows the changes meanwhile. The emulator cuts pages at 1 MB and bounds its history, as the store does.

Tests: odd_writer_test counts the allocations of the reading thread. On the code before, its five tests failed with 45,788 KB for the first entry of 1 MB, where 2,048 KB are allowed; the most is 1,994 KB now, for a route, and 16 KB elsewhere. The test of the same name with real processes failed as well: 353 MB where the settings say 80, and no request answered after 40 entries of each kind, for 82 s of processor time; now it peaks at 23 MB. endlessListsFailTheRead had taken the limit on the text of a list for its subject; it now asserts that a reading ends after as many calls, reads on or fails, and fails at once on a page that repeats itself.

--- a/modules/bw_emulator/bw_emulator.h
+++ b/modules/bw_emulator/bw_emulator.h
@@ -8,6 +8,7 @@
 #define BW_EMULATOR_BW_EMULATOR_H
 
 #include "bw_emulator/servers/emulated_server.h"
-#include "bw_emulator/store/versioned_store.h"
+#include "bw_emulator/store/odd_values.h"
+include "bw_emulator/store/versioned_store.h"
 
 #endif
--- a/modules/bw_emulator/store/versioned_store.cpp
+++ b/modules/bw_emulator/store/versioned_store.cpp
@@ -10,9 +10,16 @@
     Kinds[Kind].erase(Object.Name);
   else
     Kinds[Kind][Object.Name] = Object;
+  HistorySize += Object.Value.size();
   History.push_back(
       {.Kind = Kind,
        .Change = {.Object = std::move(Object), .IsRemoved = IsRemoved}});
+  while (HistorySize > MaxHistory.value()) {
+    const versioned_store::object &Oldest = History.front().Change.Object;
+    HistoryStart = Oldest.Revision;
+    HistorySize -= Oldest.Value.size();
+    History.pop_front();
+  }
 }
 
 versioned_store::outcome versioned_store::create(const std::string &Kind,
@@ -74,6 +81,27 @@
   return Result;
 }
 
+versioned_store::page versioned_store::listPage(const std::string &Kind,
+                                                const std::string &After,
+                                                std::size_t MaxObjects,
+                                                byte_count MaxSize) const {
+  page Result;
+  const auto OfKind = Kinds.find(Kind);
+  if (OfKind == Kinds.end())
+    return Result;
+  std::size_t Size = 0;
+  for (auto Each = OfKind->second.upper_bound(After);
+       Each != OfKind->second.end(); ++Each) {
+    Size += Each->second.Value.size();
+    Result.HasMore = Result.Objects.size() == MaxObjects ||
+                     (!Result.Objects.empty() && Size > MaxSize.value());
+    if (Result.HasMore)
+      break;
+    Result.Objects.push_back(Each->second);
+  }
+  return Result;
+}
+
 std::optional<std::vector<versioned_store::change>>
 versioned_store::changesAfter(const std::string &Kind,
                               store_revision After) const {
@@ -88,6 +116,7 @@
 
 void versioned_store::dropHistory() {
   History.clear();
+  HistorySize = 0;
   HistoryStart = Revision;
 }
 
--- a/modules/bw_emulator/store/versioned_store.h
+++ b/modules/bw_emulator/store/versioned_store.h
@@ -2,6 +2,7 @@
 #define BW_EMULATOR_STORE_VERSIONED_STORE_H
 
 #include "bw_core/ids/store_position.h"
+#include "bw_core/ids/units.h"
 
 #include <deque>
 #include <map>
@@ -39,6 +40,14 @@
   std::optional<object> get(const std::string &Kind,
                             const std::string &Name) const;
   std::vector<object> list(const std::string &Kind) const;
+  /// The objects whose names come after one, up to a number and up to about a
+  /// size of their values; at least one, if there are any.
+  struct page {
+    std::vector<object> Objects;
+    bool HasMore = false;
+  };
+  page listPage(const std::string &Kind, const std::string &After,
+                std::size_t MaxObjects, byte_count MaxSize) const;
   /// Nothing when the history after the revision is gone, or the store does not
   /// have that revision.
   std::optional<std::vector<change>>
@@ -56,7 +65,10 @@
   void record(const std::string &Kind, object Object, bool IsRemoved);
 
   std::map<std::string, std::map<std::string, object>> Kinds;
+  /// The oldest changes are discarded above this size of their values.
+  static constexpr byte_count MaxHistory = mebibytes(64);
   std::deque<recorded_change> History;
+  std::size_t HistorySize = 0;
   store_era Era{1};
   store_revision Revision{1};
   /// Changes up to here are not in the history.
--- a/modules/bw_gateway_daemon/follow/configuration_follower.cpp
+++ b/modules/bw_gateway_daemon/follow/configuration_follower.cpp
@@ -132,6 +132,8 @@
   case watch_end::HistoryGone:
     Watched.reset();
     return duration::zero();
+  case watch_end::Incomplete:
+    return duration::zero();
   case watch_end::Unavailable:
     // The history may be gone when the store is available again.
     Watched.reset();
--- a/modules/bw_gateway_daemon/follow/followers_test.cpp
+++ b/modules/bw_gateway_daemon/follow/followers_test.cpp
@@ -41,10 +41,12 @@
   CPPUNIT_TEST_SUITE(followers_test);
   CPPUNIT_TEST(findsChangesOmittedByWatch);
   CPPUNIT_TEST(findsOmittedChangesWithinStableWindow);
+  CPPUNIT_TEST(readsOnInLongConfigurationLists);
   CPPUNIT_TEST(rereadsAfterLostHistory);
   CPPUNIT_TEST(resumesAfterStoreOutage);
   CPPUNIT_TEST(readsChangesOfLongLists);
   CPPUNIT_TEST(alwaysReadsShortListsInFull);
+  CPPUNIT_TEST(followsChangesWhileALongListIsRead);
   CPPUNIT_TEST(reannouncesRemovedHost);
   CPPUNIT_TEST_SUITE_END();
 
@@ -101,6 +103,20 @@
     CPPUNIT_ASSERT(Options.MinWatchTime <= Options.MaxWatchTime);
   }
 
+  void readsOnInLongConfigurationLists() {
+    std::atomic<int> Calls = 0;
+    follow({.ReadConfiguration = [&] {
+      return ++Calls < 3
+                 ? configuration_watch{.End = watch_end::Incomplete,
+                                       .Position = at(1)}
+                 : configuration_watch{.End = watch_end::Changed,
+                                       .Position = at(1),
+                                       .Configuration = configuration(1)};
+    }});
+    waitForVersion(1);
+    CPPUNIT_ASSERT_EQUAL(3, Calls.load());
+  }
+
   void rereadsAfterLostHistory() {
     std::atomic<std::uint64_t> Stored = 1;
     follow({.ReadConfiguration =
@@ -146,7 +162,7 @@
                              .Calls = 4};
                        },
                    .ReadServerChanges =
-                       [&](store_position After) {
+                       [&](store_position After, const known_server_check &) {
                          CPPUNIT_ASSERT(After.Revision ==
                                         store_revision(Revision));
                          servers_watch Result{.End = watch_end::Changed,
@@ -180,7 +196,7 @@
                             .Servers = {server("a")}}};
              },
          .ReadServerChanges =
-             [](store_position) {
+             [](store_position, const known_server_check &) {
                CPPUNIT_FAIL("changes were read");
                return servers_watch{};
              }});
@@ -188,6 +204,47 @@
         [](const servers_listed &Each) { return Each.Position == at(3); });
   }
 
+  // Guards against a leaving server that stays in use, and against a list that
+  // is never used, while the entries of other writers are read.
+  void followsChangesWhileALongListIsRead() {
+    std::atomic<int> FullReads = 0;
+    std::atomic<std::uint64_t> Revision = 1;
+    followServers({.ReadServers =
+                       [&] {
+                         const int Read = ++FullReads;
+                         servers_reading Result{
+                             .List = {.Position = at(1), .Servers = {}},
+                             .Calls = 4,
+                             .IsComplete = Read == 1 || Read > 4};
+                         if (Read == 1)
+                           Result.List.Servers = {server("a"), server("b")};
+                         if (Read > 4)
+                           Result.List = {
+                               .Position = at(Revision),
+                               .Servers = {server("b"), server("c")}};
+                         return Result;
+                       },
+                   .ReadServerChanges =
+                       [&](store_position, const known_server_check &IsKnown) {
+                         CPPUNIT_ASSERT(IsKnown(backend_server_id("b")));
+                         CPPUNIT_ASSERT(!IsKnown(backend_server_id("x")));
+                         servers_watch Result{.End = watch_end::Changed,
+                                              .Position = at(++Revision)};
+                         if (FullReads == 3)
+                           Result.Changes = {{.Server = backend_server_id("a"),
+                                              .Now = server("a", true)}};
+                         return Result;
+                       }},
+                  1ms);
+    Sink->waitFor<servers_listed>([](const servers_listed &Each) {
+      return Each.Servers.size() == 2 && Each.Servers[0].Leaving;
+    });
+    Sink->waitFor<servers_listed>([](const servers_listed &Each) {
+      return Each.Servers.size() == 2 &&
+             Each.Servers[1].Server == backend_server_id("c");
+    });
+  }
+
   // Guards against a host that was removed as gone and never receives reports
   // again.
   void reannouncesRemovedHost() {
@@ -227,11 +284,12 @@
     Kernel->start();
   }
 
-  void followServers(platform_source Source) {
+  void followServers(platform_source Source, duration FullReadInterval = 3s) {
     Kernel->add<server_follower>(
         *Clock,
         server_follower_options{.Source = std::move(Source),
-                                .RetryPause = std::chrono::milliseconds(1)});
+                                .RetryPause = std::chrono::milliseconds(1),
+                                .FullReadInterval = FullReadInterval});
     Kernel->start();
   }
 
--- a/modules/bw_gateway_daemon/follow/platform_source.h
+++ b/modules/bw_gateway_daemon/follow/platform_source.h
@@ -19,6 +19,7 @@
   Unchanged, ///< The wait timed out.
   /// The store cannot show what has changed since the position; read again.
   HistoryGone,
+  Incomplete,  ///< More pages follow; the next reading continues.
   Unavailable, ///< The store did not respond.
 };
 
@@ -32,8 +33,10 @@
   /// Name of the object that holds it and position of its last change.
   std::string Object = {};
   store_position ObjectPosition = {};
-  /// Configurations that cannot be put in force.
+  /// Configurations that cannot be put in force, the last few of them.
   std::vector<configuration_refusal> Refusals = {};
+  /// Only other objects have changed.
+  bool HasOtherChanges = false;
 };
 
 /// A change to one entry of the server list.
@@ -46,13 +49,25 @@
 struct servers_watch {
   watch_end End = watch_end::Unavailable;
   store_position Position;
+  /// The last change of each server.
   std::vector<server_change_entry> Changes;
 };
 
+/// Tells whether a server is in the list that its reader has.
+using known_server_check = std::function<bool(const backend_server_id &)>;
+
+/// Returns a check that is true for all servers.
+inline known_server_check anyServer() {
+  return [](const backend_server_id &) { return true; };
+}
+
 /// The complete server list, and the number of calls needed to read it.
 struct servers_reading {
   servers_listed List;
   std::uint32_t Calls = 1;
+  /// False if more pages follow than one call reads. The list is empty then,
+  /// and the next call continues.
+  bool IsComplete = true;
 };
 
 /// The host list, and the era of the store that it shows.
@@ -85,9 +100,12 @@
   std::function<std::optional<servers_reading>()> ReadServers = [] {
     return std::nullopt;
   };
-  /// Reads the changes after the position, without waiting.
-  std::function<servers_watch(store_position)> ReadServerChanges =
-      [](store_position) { return servers_watch{}; };
+  /// Reads the changes after the position, without waiting. Leaves out entries
+  /// that describe no server, unless the check knows their name.
+  std::function<servers_watch(store_position, const known_server_check &)>
+      ReadServerChanges = [](store_position, const known_server_check &) {
+        return servers_watch{};
+      };
   /// Reads the current configuration.
   std::function<configuration_watch()> ReadConfiguration = [] {
     return configuration_watch{};
@@ -104,7 +122,8 @@
   std::function<host_write(const gateway_host &, store_position)> ReplaceHost =
       [](const gateway_host &, store_position) { return host_write{}; };
   /// Reads the host list, which may be a few seconds old; returns nothing if
-  /// the store did not respond.
+  /// the store did not respond, or if more pages follow, with which the next
+  /// call continues.
   std::function<std::optional<hosts_reading>()> ReadHosts = [] {
     return std::nullopt;
   };
--- a/modules/bw_gateway_daemon/follow/restored_store_test.cpp
+++ b/modules/bw_gateway_daemon/follow/restored_store_test.cpp
@@ -298,7 +298,7 @@
                                                 .Calls = 4};
                        },
                    .ReadServerChanges =
-                       [&](store_position After) {
+                       [&](store_position After, const known_server_check &) {
                          const std::lock_guard Guard(Mutex);
                          CPPUNIT_ASSERT_EQUAL(store_era(Era), After.Era);
                          // The second call is answered by the restored store.
--- a/modules/bw_gateway_daemon/follow/server_follower.cpp
+++ b/modules/bw_gateway_daemon/follow/server_follower.cpp
@@ -7,6 +7,14 @@
 
 using namespace bw;
 
+namespace {
+
+// Full reads of a list that takes long are this many times their length apart,
+// so that entries of other writers do not take the processor.
+constexpr int FullReadSpacing = 10;
+
+} // namespace
+
 server_follower::server_follower(runtime_clock &Clock,
                                  server_follower_options GivenOptions)
     : service(std::string(ServiceName)), Clock(Clock),
@@ -52,20 +60,31 @@
 }
 
 bool server_follower::read() {
-  const bool IsFullDue = !KnownPosition || CallsOfLastRead == 1 ||
-                         Clock.now() - LastFullRead >= Options.FullReadInterval;
-  if (!IsFullDue && readChanges())
+  const bool IsFullDue =
+      !KnownPosition || CallsOfLastRead == 1 || Clock.now() >= NextFullRead;
+  // A long list is read in several calls; the list in use stays up to date
+  // meanwhile.
+  if ((!IsFullDue || IsReadingOn) && readChanges() && !IsReadingOn)
     return true;
   return readAll();
 }
 
 bool server_follower::readAll() {
+  const time_point Before = Clock.now();
   std::optional<servers_reading> Reading = Options.Source.ReadServers();
   if (!Reading || !State->recordEra(Reading->List.Position.Era)) {
     KnownPosition.reset();
+    IsReadingOn = false;
     return false;
   }
-  LastFullRead = Clock.now();
+  TimeOfFullRead = (IsReadingOn ? TimeOfFullRead : duration::zero()) +
+                   (Clock.now() - Before);
+  IsReadingOn = !Reading->IsComplete;
+  if (IsReadingOn)
+    return true;
+  NextFullRead =
+      Clock.now() + std::max<duration>(Options.FullReadInterval,
+                                       TimeOfFullRead * FullReadSpacing);
   CallsOfLastRead = Reading->Calls;
   KnownPosition = Reading->List.Position;
   Known.clear();
@@ -80,7 +99,11 @@
 }
 
 bool server_follower::readChanges() {
-  servers_watch Changes = Options.Source.ReadServerChanges(*KnownPosition);
+  if (!KnownPosition)
+    return false;
+  servers_watch Changes = Options.Source.ReadServerChanges(
+      *KnownPosition,
+      [this](const backend_server_id &Each) { return Known.contains(Each); });
   // Changes of another era are not changes of the list that is known here.
   if (Changes.End != watch_end::Changed ||
       !State->recordEra(Changes.Position.Era) ||
--- a/modules/bw_gateway_daemon/follow/server_follower.h
+++ b/modules/bw_gateway_daemon/follow/server_follower.h
@@ -57,7 +57,10 @@
   /// The list of the last reading was older than the one in use.
   bool IsOutdated = false;
   std::uint32_t CallsOfLastRead = 1;
-  time_point LastFullRead{};
+  time_point NextFullRead{};
+  duration TimeOfFullRead{};
+  /// More pages of the list follow.
+  bool IsReadingOn = false;
   bool IsAvailable = true;
   bool IsFirstPoll = true;
   follower_thread Thread;
--- a/modules/bw_http/client/http_call.cpp
+++ b/modules/bw_http/client/http_call.cpp
@@ -55,8 +55,12 @@
     Result.Response.Status = Status;
     Result.Response.Headers = Headers;
   };
-  Request.OnBody = [&](std::string_view Part) {
-    Result.Response.Body += Part;
+  Request.OnBody = [&,
+                    Sink = std::move(Request.BodySink)](std::string_view Part) {
+    if (Sink)
+      Sink(Result.Response.Status, Part);
+    else
+      Result.Response.Body += Part;
     return true;
   };
   const easy_transfer Transfer(std::move(Request));
--- a/modules/bw_http/client/http_client.h
+++ b/modules/bw_http/client/http_client.h
@@ -57,6 +57,9 @@
   /// Longest body of the response; a longer one breaks the transfer. Without a
   /// value, blocking calls use `DefaultBodyLimit`, and others have no limit.
   std::optional<byte_count> BodyLimit = {};
+  /// Takes the body of a blocking call part by part, with the status, in place
+  /// of `http_response::Body`. It may belong to a transfer that breaks.
+  std::function<void(int Status, std::string_view Part)> BodySink = {};
 
   /// All hooks are called on the client's thread and must not block.
   std::function<void(int Status, const http_headers &)> OnHead =
--- a/tests/harness/child_process.cpp
+++ b/tests/harness/child_process.cpp
@@ -9,6 +9,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -135,6 +136,25 @@
   return {};
 }
 
+std::chrono::milliseconds child_process::processorTime() const {
+  std::ifstream File("/proc/" + std::to_string(Id) + "/stat");
+  std::string Line;
+  std::getline(File, Line);
+  // The name of the program, in brackets, may hold blanks.
+  std::istringstream Fields(
+      Line.substr(std::min(Line.rfind(')'), Line.size())));
+  // User and system time are the fields 14 and 15; the name is the second.
+  constexpr int FieldsBefore = 12;
+  std::string Skipped;
+  for (int Field = 0; Field < FieldsBefore; ++Field)
+    Fields >> Skipped;
+  long long User = 0;
+  long long System = 0;
+  Fields >> User >> System;
+  return std::chrono::milliseconds((User + System) * 1000 /
+                                   ::sysconf(_SC_CLK_TCK));
+}
+
 std::size_t child_process::openDescriptors() const {
   std::error_code Ignored;
   const std::filesystem::directory_iterator Files(
--- a/tests/harness/child_process.h
+++ b/tests/harness/child_process.h
@@ -41,6 +41,8 @@
   byte_count residentMemory() const;
   /// Peak of the resident memory since the start; 0 once it has ended.
   byte_count peakMemory() const;
+  /// Processor time since the start; 0 once it has ended.
+  std::chrono::milliseconds processorTime() const;
   /// Descriptors that are open now; 0 once it has ended.
   std::size_t openDescriptors() const;
 
--- a/tests/slow_clients/gateway_under_test.cpp
+++ b/tests/slow_clients/gateway_under_test.cpp
@@ -51,9 +51,10 @@
       Store(Clock) {
   Store.start();
   writeConfiguration(Limits.IdleTimeout);
-  addServer("ordinary-1", "ordinary", server_conduct::Answers);
+  replaceOrdinaryServer();
   for (int Index = 1; Index <= CrowdServers; ++Index)
-    addServer("crowd-" + std::to_string(Index), "crowd", Conduct);
+    Servers.push_back(
+        addServer("crowd-" + std::to_string(Index), "crowd", Conduct));
   SettingsFile = writeSettings(Limits);
   Process = std::make_unique<harness::child_process>(
       "bramleywinch-gateway",
@@ -81,19 +82,29 @@
   std::filesystem::remove(SettingsFile, Ignored);
 }
 
-void gateway_under_test::addServer(const std::string &Name,
-                                   const std::string &Service,
-                                   server_conduct Conduct) {
+std::unique_ptr<test_server>
+gateway_under_test::addServer(const std::string &Name,
+                              const std::string &Service,
+                              server_conduct Conduct) {
   const backend_server_id Id(Name);
-  Servers.push_back(std::make_unique<test_server>(test_server_options{
-      .Server = Id, .Headers = platform::relayHeaders(), .Conduct = Conduct}));
-  Store.writeServer({.Server = Id,
-                     .Service = service_id(Service),
-                     .DataCentre = Place,
-                     .Address = server_address(
-                         "127.0.0.1:" + std::to_string(Servers.back()->port())),
-                     .Slots = Slots,
-                     .Start = server_start(Servers.size())});
+  auto Server = std::make_unique<test_server>(test_server_options{
+      .Server = Id, .Headers = platform::relayHeaders(), .Conduct = Conduct});
+  Store.writeServer(
+      {.Server = Id,
+       .Service = service_id(Service),
+       .DataCentre = Place,
+       .Address = server_address("127.0.0.1:" + std::to_string(Server->port())),
+       .Slots = Slots,
+       .Start = server_start(++LastServer)});
+  return Server;
+}
+
+void gateway_under_test::replaceOrdinaryServer() {
+  if (Ordinary)
+    Store.removeServer(OrdinaryId);
+  Ordinary.reset();
+  OrdinaryId = backend_server_id("ordinary-" + std::to_string(LastServer + 1));
+  Ordinary = addServer(OrdinaryId.value(), "ordinary", server_conduct::Answers);
 }
 
 void gateway_under_test::writeConfiguration(duration IdleTimeout) {
--- a/tests/slow_clients/gateway_under_test.h
+++ b/tests/slow_clients/gateway_under_test.h
@@ -47,6 +47,13 @@
   byte_count peakMemory() const { return Process->peakMemory(); }
   /// Descriptors that are open now.
   std::size_t openDescriptors() const { return Process->openDescriptors(); }
+  /// Processor time of the process.
+  std::chrono::milliseconds processorTime() const {
+    return Process->processorTime();
+  }
+  platform::store_service &store() { return Store; }
+  /// Ends the server behind `/ordinary/`, if there is one, and adds another.
+  void replaceOrdinaryServer();
   /// Asks `/ordinary/` once.
   bool answersOnce() const;
   /// Asks `/ordinary/` until it is answered, for up to half a minute.
@@ -58,8 +65,9 @@
   static std::string upload(std::size_t Length, std::size_t Sent);
 
 private:
-  void addServer(const std::string &Name, const std::string &Service,
-                 server_conduct Conduct);
+  std::unique_ptr<test_server> addServer(const std::string &Name,
+                                         const std::string &Service,
+                                         server_conduct Conduct);
   void writeConfiguration(duration IdleTimeout);
   std::string writeSettings(gateway_limits Limits) const;
 
@@ -67,6 +75,9 @@
   caller_address Address;
   platform::store_service Store;
   std::vector<std::unique_ptr<test_server>> Servers;
+  std::unique_ptr<test_server> Ordinary;
+  backend_server_id OrdinaryId;
+  std::uint64_t LastServer = 0;
   std::string SettingsFile;
   std::unique_ptr<harness::child_process> Process;
 };
