Go on after changes of other writers in the kind of the configuration

Callers saw: nothing yet; hosts that follow the configuration called the store without a pause while another writer changed objects of the same kind.

Cause: a watch without a change of the configuration started again at the same position, since a watch may omit a change while the store discards its history. Changes of other objects since that position ended it at once, each time.

Change: the next watch starts after such changes and after a pause.

Tests: followers_test::passesChangesOfOtherWriters asserts the positions of the watches and fails on the code before at the second one, by its assertion that a watch starts where the last one ended; findsAChangeOmittedBesideThoseOfOtherWriters guards the reading.

--- a/modules/bw_gateway_daemon/follow/configuration_follower.cpp
+++ b/modules/bw_gateway_daemon/follow/configuration_follower.cpp
@@ -39,7 +39,12 @@
     Min = std::min(Min, Max * 3 / 4);
   }
   const auto Span = static_cast<std::uint64_t>((Max - Min).count());
-  return Min + std::chrono::milliseconds(Random.below(Span + 1));
+  const auto Result = Min + std::chrono::milliseconds(Random.below(Span + 1));
+  if (!RereadAt)
+    return Result;
+  const auto Left =
+      std::chrono::ceil<std::chrono::milliseconds>(*RereadAt - Clock.now());
+  return std::clamp(Left, VerifyingWatchTime, Result);
 }
 
 bool configuration_follower::isFollowing() {
@@ -52,9 +57,12 @@
 // A call shows which version was the newest when the call was sent: the store
 // can omit a change that comes later, which only the next call then shows. A
 // configuration that is not valid, or not above the version before, does not
-// come into force, so the version before stays the newest valid one.
+// come into force, so the version before stays the newest valid one. After
+// changes of other writers a watch shows less, and only a reading counts.
 void configuration_follower::recordProof(const configuration_watch &Result,
                                          bool IsRead, boot_time_point SentAt) {
+  if (RereadAt)
+    return;
   if (IsRead)
     WatchedVersion.reset();
   if (Result.End == watch_end::Changed && Result.Configuration)
@@ -100,7 +108,11 @@
     if (!Left || *Left > duration::zero())
       return std::min(Options.IdlePause, Left.value_or(Options.IdlePause));
   }
+  if (RereadAt && Clock.now() >= *RereadAt)
+    Watched.reset();
   const bool IsRead = !Watched;
+  if (IsRead)
+    RereadAt.reset();
   const boot_time_point SentAt = Clock.bootNow();
   const configuration_watch Result = call(IsFollowing);
   const bool WasAvailable = IsAvailable;
@@ -124,6 +136,8 @@
     // revision from which to watch.
     if (!Watched)
       Watched = Result.Position;
+    if (Result.HasOtherChanges)
+      return passOtherChanges(Result, IsRead, SentAt);
     // The next watch starts at the same position. The store may omit a change
     // while it discards its history; the next watch then reports the change at
     // once, or that the history is gone.
@@ -142,6 +156,19 @@
   return Options.RetryPause;
 }
 
+// A watch from before the changes of other writers would return them again at
+// once. One from after them may omit a change as described above, so that the
+// listing is read soon. The pause bounds the calls, however often others write.
+duration
+configuration_follower::passOtherChanges(const configuration_watch &Result,
+                                         bool IsRead, boot_time_point SentAt) {
+  recordProof(Result, IsRead, SentAt);
+  Watched = Result.Position;
+  if (!RereadAt)
+    RereadAt = Clock.now() + Options.MinWatchTime;
+  return Options.RetryPause;
+}
+
 // A refused configuration changes nothing at this host. The next watch starts
 // after it, so that it costs no more calls than a valid one.
 void configuration_follower::applyChange(const configuration_watch &Read) {
--- a/modules/bw_gateway_daemon/follow/configuration_follower.h
+++ b/modules/bw_gateway_daemon/follow/configuration_follower.h
@@ -47,6 +47,8 @@
   /// that does not continue the watched history as the loss of it.
   configuration_watch call(bool IsFollowing);
   /// Puts a configuration in force and notes where the next watch starts.
+  duration passOtherChanges(const configuration_watch &Result, bool IsRead,
+                            boot_time_point SentAt);
   void applyChange(const configuration_watch &Read);
   /// True if this host follows the store for others, or has no configuration.
   bool isFollowing();
@@ -61,6 +63,8 @@
   platform_state *State = nullptr;
   /// The position from which to continue the watch; none if it must be read.
   std::optional<store_position> Watched;
+  /// Set after changes of other writers: when the listing must be read again.
+  std::optional<time_point> RereadAt;
   /// The newest valid version at that position; none if it is not known.
   std::optional<config_version> WatchedVersion;
   bool IsAvailable = true;
--- a/modules/bw_gateway_daemon/follow/followers_test.cpp
+++ b/modules/bw_gateway_daemon/follow/followers_test.cpp
@@ -41,6 +41,8 @@
   CPPUNIT_TEST_SUITE(followers_test);
   CPPUNIT_TEST(findsChangesOmittedByWatch);
   CPPUNIT_TEST(findsOmittedChangesWithinStableWindow);
+  CPPUNIT_TEST(passesChangesOfOtherWriters);
+  CPPUNIT_TEST(findsAChangeOmittedBesideThoseOfOtherWriters);
   CPPUNIT_TEST(readsOnInLongConfigurationLists);
   CPPUNIT_TEST(rereadsAfterLostHistory);
   CPPUNIT_TEST(resumesAfterStoreOutage);
@@ -103,6 +105,60 @@
     CPPUNIT_ASSERT(Options.MinWatchTime <= Options.MaxWatchTime);
   }
 
+  // Guards against watches that return the changes of another writer at once,
+  // again and again, and take the processor.
+  void passesChangesOfOtherWriters() {
+    std::atomic<std::uint64_t> Written = 10;
+    std::atomic<int> Watches = 0;
+    std::atomic<int> Readings = 0;
+    follow({.ReadConfiguration =
+                [&] {
+                  ++Readings;
+                  return configuration_watch{.End = watch_end::Changed,
+                                             .Position = at(Written),
+                                             .Configuration = configuration(1)};
+                },
+            .WatchConfiguration =
+                [&](store_position After, std::chrono::milliseconds) {
+                  // The other writer is faster than any reader.
+                  CPPUNIT_ASSERT(After.Revision == store_revision(Written));
+                  Written += 5;
+                  configuration_watch Result{.End = watch_end::Unchanged,
+                                             .Position = at(Written)};
+                  Result.HasOtherChanges = true;
+                  if (++Watches == 3) {
+                    Result.End = watch_end::Changed;
+                    Result.Configuration = configuration(2);
+                  }
+                  return Result;
+                }});
+    waitForVersion(2);
+    CPPUNIT_ASSERT_EQUAL(1, Readings.load());
+  }
+
+  // Guards against a change that is never found because the watches go on after
+  // the changes of another writer.
+  void findsAChangeOmittedBesideThoseOfOtherWriters() {
+    std::atomic<std::uint64_t> Stored = 1;
+    follow({.ReadConfiguration =
+                [&] {
+                  return configuration_watch{.End = watch_end::Changed,
+                                             .Position = at(10),
+                                             .Configuration =
+                                                 configuration(Stored)};
+                },
+            .WatchConfiguration =
+                [&](store_position After, std::chrono::milliseconds) {
+                  Stored = 2;
+                  configuration_watch Result{
+                      .End = watch_end::Unchanged,
+                      .Position = at(After.Revision.value() + 1)};
+                  Result.HasOtherChanges = true;
+                  return Result;
+                }});
+    waitForVersion(2);
+  }
+
   void readsOnInLongConfigurationLists() {
     std::atomic<int> Calls = 0;
     follow({.ReadConfiguration = [&] {
