Read messages of other hosts entry by entry

Cause: a configuration or list from another host became one protobuf object. An entry without members has two bytes in a message and over a hundred in memory, and a message may have 8 MB.

Change: the fields are read one by one, at most one entry is held as an object, and the entries are counted; no value of the store holds as many.

Tests: wire_fields_test bounds the allocations for messages of 4 MB of empty entries, digests, destinations and unknown fields by once to six times their bytes.

--- a/modules/bw_gateway_daemon/peers/exchange_messages.cpp
+++ b/modules/bw_gateway_daemon/peers/exchange_messages.cpp
@@ -3,6 +3,7 @@
 #include "bw_gateway_daemon/peers/exchange.pb.h"
 #include "bw_gateway_daemon/peers/exchange_demands.h"
 #include "bw_gateway_daemon/peers/exchange_verification.h"
+#include "bw_gateway_daemon/peers/wire_fields.h"
 
 #include <algorithm>
 #include <cmath>
@@ -15,6 +16,23 @@
 // Ages above this are not distinguished.
 constexpr std::chrono::milliseconds MaxListAge = std::chrono::hours(24);
 
+// Most entries of what a host fetches. The values of the store hold fewer
+// routes and customers, and the design size has a fifth of the servers.
+constexpr std::size_t MaxServers = 50'000;
+constexpr std::size_t MaxHosts = 10'000;
+constexpr std::size_t MaxRoutes = 10'000;
+constexpr std::size_t MaxDestinations = 40'000;
+constexpr std::size_t MaxCustomers = 80'000;
+constexpr std::size_t MaxKeys = 300'000;
+
+// Bytes of a record without its lists; names take most of them.
+constexpr std::size_t MaxRecordBytes = kibibytes(64).value();
+
+void checkCount(std::size_t Count, std::size_t Max) {
+  if (Count > Max)
+    throw exchange_error("more than " + std::to_string(Max) + " entries");
+}
+
 template <typename Message> Message parse(std::string_view Bytes) {
   Message Result;
   if (!Result.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
@@ -22,6 +40,12 @@
   return Result;
 }
 
+template <typename Record> Record parseRecord(std::string_view Bytes) {
+  if (Bytes.size() > MaxRecordBytes)
+    throw exchange_error("an entry is too long");
+  return parse<Record>(Bytes);
+}
+
 std::uint64_t microseconds(duration Time) {
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::microseconds>(Time).count());
@@ -193,34 +217,46 @@
 
 bool isCount(double Value) { return Value >= 0 && std::isfinite(Value); }
 
-customer decodeCustomer(const exchange::customer_record &Record) {
-  if (!isCount(Record.rate()) || !isCount(Record.burst()))
-    throw exchange_error("allowance of a customer is out of range");
-  customer Result{.Name = customer_id(Record.name()),
-                  .Keys = {},
-                  .Priority = {},
-                  .Allowance = {.Rate = request_rate(Record.rate()),
-                                .Burst = Record.burst()}};
-  if (Record.has_priority())
-    Result.Priority = Record.priority();
-  for (const std::string &Each : Record.key_digests()) {
-    const auto Digest = key_digest::fromBytes(Each);
-    if (!Digest)
-      throw exchange_error("digest of a key has another size than expected");
-    Result.Keys.push_back(*Digest);
-  }
+// A customer may have so many keys that a message with all of them would take
+// several times their bytes.
+customer decodeCustomer(std::string_view Bytes) {
+  using record = exchange::customer_record;
+  customer Result{.Name = {}, .Keys = {}, .Priority = {}, .Allowance = {}};
+  const auto ReadNumber = [&](int Field, std::uint64_t Value) {
+    if (Field == record::kPriorityFieldNumber)
+      Result.Priority = static_cast<std::uint32_t>(Value);
+  };
+  const auto ReadDouble = [&](int Field, double Value) {
+    if (!isCount(Value))
+      throw exchange_error("allowance of a customer is out of range");
+    if (Field == record::kRateFieldNumber)
+      Result.Allowance.Rate = request_rate(Value);
+    else if (Field == record::kBurstFieldNumber)
+      Result.Allowance.Burst = Value;
+  };
+  const auto ReadBytes = [&](int Field, std::string_view Value) {
+    if (Field == record::kNameFieldNumber) {
+      if (Value.size() > MaxRecordBytes)
+        throw exchange_error("an entry is too long");
+      Result.Name = customer_id(std::string(Value));
+    } else if (Field == record::kKeyDigestsFieldNumber) {
+      const auto Digest = key_digest::fromBytes(Value);
+      if (!Digest)
+        throw exchange_error("digest of a key has another size than expected");
+      checkCount(Result.Keys.size() + 1, MaxKeys);
+      Result.Keys.push_back(*Digest);
+    }
+  };
+  readWireFields(
+      Bytes,
+      {.OnNumber = ReadNumber, .OnDouble = ReadDouble, .OnBytes = ReadBytes});
   return Result;
 }
 
 std::shared_ptr<const customer_directory>
-decodeCustomers(const exchange::configuration_record &Record) {
-  if (!Record.names_customers())
-    return nullptr;
-  std::vector<customer> Result;
-  for (const auto &Each : Record.customers())
-    Result.push_back(decodeCustomer(Each));
+makeDirectory(std::vector<customer> Customers) {
   try {
-    return std::make_shared<const customer_directory>(std::move(Result));
+    return std::make_shared<const customer_directory>(std::move(Customers));
   } catch (const customer_error &Failure) {
     throw exchange_error(Failure.what());
   }
@@ -394,12 +430,18 @@
 }
 
 servers_listed bw::decodeServers(std::string_view Bytes) {
-  const auto List = parse<exchange::server_list>(Bytes);
-  servers_listed Result{
-      .Position = {.Era = store_era(List.era()),
-                   .Revision = store_revision(List.revision())},
-      .Servers = {}};
-  for (const auto &Each : List.servers())
+  servers_listed Result;
+  const auto ReadNumber = [&](int Field, std::uint64_t Value) {
+    if (Field == exchange::server_list::kRevisionFieldNumber)
+      Result.Position.Revision = store_revision(Value);
+    else if (Field == exchange::server_list::kEraFieldNumber)
+      Result.Position.Era = store_era(Value);
+  };
+  const auto ReadEntry = [&](int Field, std::string_view Value) {
+    if (Field != exchange::server_list::kServersFieldNumber)
+      return;
+    checkCount(Result.Servers.size() + 1, MaxServers);
+    const auto Each = parseRecord<exchange::server_record>(Value);
     Result.Servers.push_back(
         {.Server = backend_server_id(Each.server()),
          .Service = service_id(Each.service()),
@@ -409,6 +451,8 @@
          .Leaving = Each.leaving(),
          .Start = server_start(Each.start()),
          .ColdRemaining = std::chrono::milliseconds(Each.cold_milliseconds())});
+  };
+  readWireFields(Bytes, {.OnNumber = ReadNumber, .OnBytes = ReadEntry});
   return Result;
 }
 
@@ -432,17 +476,57 @@
 
 std::shared_ptr<const gateway_configuration>
 bw::decodeConfiguration(std::string_view Bytes) {
-  const auto Record = parse<exchange::configuration_record>(Bytes);
+  using record = exchange::configuration_record;
   auto Result = std::make_shared<gateway_configuration>();
-  Result->Version = config_version(Record.version());
-  Result->Limits = {
-      .Header = byte_count(Record.header_bytes()),
-      .Body = byte_count(Record.body_bytes()),
-      .HeaderTimeout = std::chrono::microseconds(Record.header_timeout()),
-      .IdleTimeout = std::chrono::microseconds(Record.idle_timeout())};
-  for (const auto &Each : Record.routes())
-    Result->Routes.push_back(decodeRoute(Each));
-  Result->Customers = decodeCustomers(Record);
+  std::vector<customer> Customers;
+  bool NamesCustomers = false;
+  std::size_t Destinations = 0;
+  std::size_t Keys = 0;
+  Result->Limits = {.Header = {},
+                    .Body = {},
+                    .HeaderTimeout = duration::zero(),
+                    .IdleTimeout = duration::zero()};
+  const auto ReadNumber = [&](int Field, std::uint64_t Value) {
+    switch (Field) {
+    case record::kVersionFieldNumber:
+      Result->Version = config_version(Value);
+      break;
+    case record::kHeaderBytesFieldNumber:
+      Result->Limits.Header = byte_count(Value);
+      break;
+    case record::kBodyBytesFieldNumber:
+      Result->Limits.Body = byte_count(Value);
+      break;
+    case record::kHeaderTimeoutFieldNumber:
+      Result->Limits.HeaderTimeout = std::chrono::microseconds(Value);
+      break;
+    case record::kIdleTimeoutFieldNumber:
+      Result->Limits.IdleTimeout = std::chrono::microseconds(Value);
+      break;
+    case record::kNamesCustomersFieldNumber:
+      NamesCustomers = Value != 0;
+      break;
+    default:
+      break;
+    }
+  };
+  const auto ReadEntry = [&](int Field, std::string_view Value) {
+    if (Field == record::kRoutesFieldNumber) {
+      checkCount(Result->Routes.size() + 1, MaxRoutes);
+      Result->Routes.push_back(
+          decodeRoute(parseRecord<exchange::route_record>(Value)));
+      Destinations += Result->Routes.back().Destinations.size();
+      checkCount(Destinations, MaxDestinations);
+    } else if (Field == record::kCustomersFieldNumber) {
+      checkCount(Customers.size() + 1, MaxCustomers);
+      Customers.push_back(decodeCustomer(Value));
+      Keys += Customers.back().Keys.size();
+      checkCount(Keys, MaxKeys);
+    }
+  };
+  readWireFields(Bytes, {.OnNumber = ReadNumber, .OnBytes = ReadEntry});
+  if (NamesCustomers)
+    Result->Customers = makeDirectory(std::move(Customers));
   return Result;
 }
 
@@ -461,9 +545,12 @@
 }
 
 std::vector<gateway_host> bw::decodeHosts(std::string_view Bytes) {
-  const auto List = parse<exchange::host_list>(Bytes);
   std::vector<gateway_host> Result;
-  for (const auto &Each : List.hosts())
+  const auto ReadEntry = [&](int Field, std::string_view Value) {
+    if (Field != exchange::host_list::kHostsFieldNumber)
+      return;
+    checkCount(Result.size() + 1, MaxHosts);
+    const auto Each = parseRecord<exchange::host_record>(Value);
     Result.push_back(
         {.Host = host_id(Each.host()),
          .DataCentre = data_centre_id(Each.data_centre()),
@@ -471,5 +558,7 @@
          .ReportPort = static_cast<std::uint16_t>(Each.report_port()),
          .ExchangePort = static_cast<std::uint16_t>(Each.exchange_port()),
          .ProcessorShare = ratio(Each.processor_share())});
+  };
+  readWireFields(Bytes, {.OnBytes = ReadEntry});
   return Result;
 }
