Bound what the daemon holds of what others write to the platform

One entry that cannot be read, or 40,000 odd ones, hid the whole host list from bramleywinchd.

Cause: the host list and lists of objects became a JSON tree of a response of up to 64 MB. Values of the store had the same limit, and a message of empty entries takes many times its bytes.

Change: lists are read as they arrive; an entry is given up, not the list, and only hosts count for the limit of 40,000. A value has 1 MB at most, as the service's own limit says. parseBounded computes what a message would take before it is made, and refuses above 8 MB.

--- a/modules/bw_daemon/platform/watch_service.cpp
+++ b/modules/bw_daemon/platform/watch_service.cpp
@@ -3,6 +3,7 @@
 #include "bw_daemon/decide/decide_service.h"
 #include "bw_kernel/log/log_event.h"
 #include "bw_kernel/services/service_registry.h"
+#include "bw_schema/parse/bounded_parse.h"
 
 using namespace bw;
 
@@ -87,7 +88,7 @@
   if (Answer.Outcome != watch_outcome::Changed)
     return;
   schema::configuration_head Head;
-  if (!Head.ParseFromString(Answer.Object.Value)) {
+  if (!parseBounded(Answer.Object.Value, Head)) {
     logEvent(log_event::ConfigurationRefused, {{"reason", "head malformed"}});
     return;
   }
--- a/modules/bw_operations/configuration/configuration_store.cpp
+++ b/modules/bw_operations/configuration/configuration_store.cpp
@@ -2,6 +2,7 @@
 
 #include "bw_operations/configuration/configuration_changes.h"
 #include "bw_operations/errors/operations_errors.h"
+#include "bw_schema/parse/bounded_parse.h"
 #include "bw_schema/validation/configuration_validator.h"
 #include "bw_schema/validation/names.h"
 
@@ -30,7 +31,7 @@
 std::optional<schema::configuration_head>
 tryDecodeHead(const std::string &Value) {
   schema::configuration_head Head;
-  return Head.ParseFromString(Value) ? std::optional(Head) : std::nullopt;
+  return parseBounded(Value, Head) ? std::optional(Head) : std::nullopt;
 }
 
 schema::configuration_head decodeHead(const std::string &Value) {
--- a/modules/bw_platform/bw_platform.h
+++ b/modules/bw_platform/bw_platform.h
@@ -2,7 +2,7 @@
 /// Client of the platform's object API and host list. Results keep apart what
 /// took effect, what certainly did not, and what may have.
 ///
-/// Depends on: bw_core, bw_kernel, bw_http.
+/// Depends on: bw_core, bw_kernel, bw_http, bw_json.
 #ifndef BW_PLATFORM_BW_PLATFORM_H
 #define BW_PLATFORM_BW_PLATFORM_H
 
--- a/modules/bw_platform/client/platform_client.cpp
+++ b/modules/bw_platform/client/platform_client.cpp
@@ -1,6 +1,7 @@
 #include "bw_platform/client/platform_client.h"
 
 #include "bw_http/messages/percent_encoding.h"
+#include "bw_json/stream/json_stream.h"
 #include "bw_kernel/log/log_event.h"
 
 #include <nlohmann/json.hpp>
@@ -12,6 +13,9 @@
 namespace {
 
 constexpr const char *EraField = "Store-Era";
+constexpr int Ok = 200;
+// The service takes values of 1 MB.
+constexpr byte_count ValueLimit = mebibytes(1);
 
 std::string quoteVersion(object_version Version) {
   return "\"" + std::to_string(Version.value()) + "\"";
@@ -70,19 +74,68 @@
                          .Position = {.Era = Era, .Version = *Version}};
 }
 
-std::vector<listed_object> decodeItems(const std::string &Json, store_era Era) {
-  const auto Items = nlohmann::json::parse(Json)
-                         .at("items")
-                         .get<std::vector<nlohmann::json>>();
-  std::vector<listed_object> Result;
-  Result.reserve(Items.size());
-  for (const nlohmann::json &Item : Items)
-    Result.push_back(
-        {.Name = Item.at("name").get<std::string>(),
-         .Position = {.Era = Era,
+/// Reads the names and versions of a list, part by part.
+class item_reader {
+public:
+  explicit item_reader(std::size_t Limit)
+      : Limit(Limit),
+        Stream({.Shape = {.Members = {{.Name = "items",
+                                       .Elements =
+                                           {{.Members = {{.Name = "name",
+                                                          .IsName = true},
+                                                         {.Name = "version"}}}},
+                                       .IsStreamed = true}}},
+                .OnElement = [this](const json_element &Element) {
+                  readItem(Element);
+                }}) {}
+
+  void write(std::string_view Part) { Stream.write(Part); }
+
+  /// Returns nothing if the text is no list of at most the limit.
+  std::optional<std::vector<listed_object>> finish(store_era Era) {
+    const auto Text = Stream.finish();
+    const auto Root = nlohmann::json::parse(Text.value_or(""), nullptr, false);
+    if (!IsValid || !Root.is_object() || !Root.contains("items") ||
+        !Root.at("items").is_array())
+      return std::nullopt;
+    for (listed_object &Each : Items)
+      Each.Position.Era = Era;
+    return std::move(Items);
+  }
+
+private:
+  void readItem(const json_element &Element) {
+    const auto Name = nlohmann::json::parse(Element.Name, nullptr, false);
+    const auto Item = nlohmann::json::parse(Element.Text, nullptr, false);
+    const auto Version = Item.is_object() && Item.contains("version")
+                             ? Item.at("version")
+                             : nlohmann::json();
+    // A name that no object of this project has still continues the list.
+    const bool IsLong = Element.End == json_element_end::TooLong;
+    if (!Name.is_string() || (!IsLong && !Version.is_number_unsigned()) ||
+        Items.size() == Limit) {
+      IsValid = false;
+      return;
+    }
+    Items.push_back(
+        {.Name = Name.get<std::string>(),
+         .Position = {.Era = {},
                       .Version = object_version(
-                          Item.at("version").get<std::uint64_t>())}});
-  return Result;
+                          IsLong ? 0 : Version.get<std::uint64_t>())}});
+  }
+
+  std::size_t Limit;
+  std::vector<listed_object> Items;
+  bool IsValid = true;
+  json_stream Stream;
+};
+
+/// Passes the body of a response with status 200 to a reader.
+template <typename Reader> auto sinkInto(Reader &Into) {
+  return [&Into](int Status, std::string_view Part) {
+    if (Status == Ok)
+      Into.write(Part);
+  };
 }
 
 template <typename Answer>
@@ -161,7 +214,8 @@
   auto Result = send({.Url = objectUrl(Key),
                       .Headers = {},
                       .Body = {},
-                      .Timeout = std::chrono::milliseconds(0)});
+                      .Timeout = std::chrono::milliseconds(0),
+                      .BodyLimit = ValueLimit});
   if (!isComplete(Result))
     return {};
   http_response &Response = Result->Call.Response;
@@ -203,21 +257,21 @@
                                   std::size_t Limit) const {
   if (!isObjectName(Kind))
     throw object_key_error();
+  item_reader Into(Limit);
   // A list continues after whatever name its last page ended with.
   const auto Result = send({.Url = Options.Url + "/v1/objects/" + Kind +
                                    "?after=" + percentEncode(After) +
                                    "&limit=" + std::to_string(Limit),
                             .Headers = {},
                             .Body = {},
-                            .Timeout = std::chrono::milliseconds(0)});
-  if (!isComplete(Result) || Result->Call.Response.Status != 200)
+                            .Timeout = std::chrono::milliseconds(0),
+                            .BodySink = sinkInto(Into)});
+  if (!isComplete(Result) || Result->Call.Response.Status != Ok)
     return {};
-  try {
-    return {.Outcome = read_outcome::Found,
-            .Objects = decodeItems(Result->Call.Response.Body, Result->Era)};
-  } catch (const nlohmann::json::exception &) {
+  auto Items = Into.finish(Result->Era);
+  if (!Items)
     return {};
-  }
+  return {.Outcome = read_outcome::Found, .Objects = std::move(*Items)};
 }
 
 watch_answer platform_client::watch(const object_key &Key,
@@ -233,7 +287,8 @@
                    "&timeout_ms=" + std::to_string(Timeout.count()),
             .Headers = {},
             .Body = {},
-            .Timeout = Timeout});
+            .Timeout = Timeout,
+            .BodyLimit = ValueLimit});
   if (!isComplete(Result))
     return {};
   http_response &Response = Result->Call.Response;
@@ -264,6 +319,8 @@
 platform_client::hostsSince(const host_list_tag &Tag) const {
   constexpr int NotModified = 304;
   client_request Request;
+  host_list_reader Into;
+  Request.BodySink = sinkInto(Into);
   Request.Url = Options.Url + "/v1/hosts";
   Request.Timeout = std::chrono::milliseconds(0);
   const bool IsKnown = !Tag.Text.empty() && !isEarlier(Tag.Era);
@@ -279,9 +336,9 @@
       return hostsSince({});
     return host_list_answer{.IsUnchanged = true, .Tag = Tag, .Hosts = {}};
   }
-  if (Response.Status != 200)
+  if (Response.Status != Ok)
     return std::nullopt;
-  host_list List = decodeHostList(Response.Body);
+  host_list List = Into.finish();
   return host_list_answer{
       .Tag = {.Text = Response.Headers.find("ETag").value_or(""),
               .Era = Result->Era},
--- a/modules/bw_platform/client/platform_client_test.cpp
+++ b/modules/bw_platform/client/platform_client_test.cpp
@@ -317,9 +317,10 @@
         withEra(complete(200, "\"t\"", R"({"hosts":[]})"), "2")};
     platform_client Client(
         {.Url = "http://p", .Send = [&](client_request Request) {
-           Sent.push_back(std::move(Request));
            call_result Result = Responses.front();
            Responses.pop_front();
+           deliver(Request, Result);
+           Sent.push_back(std::move(Request));
            return Result;
          }});
     const auto First = Client.hostsSince({});
@@ -344,11 +345,19 @@
     Sent.clear();
     return std::make_unique<platform_client>(platform_client_options{
         .Url = "http://p", .Send = [this, Result](client_request Request) {
+          deliver(Request, Result);
           Sent.push_back(std::move(Request));
           return Result;
         }});
   }
 
+  // Passes the body on as a blocking call does.
+  static void deliver(const client_request &Request,
+                      const call_result &Result) {
+    if (Request.BodySink)
+      Request.BodySink(Result.Response.Status, Result.Response.Body);
+  }
+
   std::vector<client_request> Sent;
 };
 
--- a/modules/bw_platform/hosts/host_list.cpp
+++ b/modules/bw_platform/hosts/host_list.cpp
@@ -10,8 +10,7 @@
 
 namespace {
 
-// Twice the instances of the design size, so that a faulty answer cannot
-// exhaust the memory.
+// Four times the instances of the design size.
 constexpr std::size_t MaxEntries = 40'000;
 constexpr std::size_t MaxTextLength = 200;
 
@@ -92,16 +91,14 @@
   return Result;
 }
 
-// The list has three levels; a bound keeps the work on a hostile one small.
-bool checkDepth(int Depth, nlohmann::json::parse_event_t Event,
-                const nlohmann::json &) {
-  constexpr int MaxDepth = 8;
-  if (Depth <= MaxDepth)
-    return true;
-  if (Event == nlohmann::json::parse_event_t::array_start ||
-      Event == nlohmann::json::parse_event_t::object_start)
-    throw host_list_error("the list is nested too deeply");
-  return true;
+json_shape listShape() {
+  json_shape Entry;
+  for (const char *Each : {"name", "role", "service", "data_centre", "address",
+                           "port", "slots", "state"})
+    Entry.Members.push_back({.Name = Each});
+  return {.Members = {{.Name = "hosts",
+                       .Elements = {std::move(Entry)},
+                       .IsStreamed = true}}};
 }
 
 } // namespace
@@ -109,28 +106,46 @@
 host_list_error::host_list_error(const std::string &Reason)
     : error("host list: " + Reason) {}
 
+host_list_reader::host_list_reader()
+    : Stream({.Shape = listShape(),
+              .OnElement = [this](const json_element &Element) {
+                readEntry(Element);
+              }}) {}
+
 // An entry that another writer has spoilt names no host; the others hold.
-host_list bw::decodeHostList(const std::string &Json) {
-  const auto Root = nlohmann::json::parse(Json, checkDepth, false);
+void host_list_reader::readEntry(const json_element &Element) {
+  const std::string Path = "hosts[" + std::to_string(Element.Index) + "]";
+  try {
+    if (Element.End == json_element_end::TooLong)
+      throw host_list_error(Path + ": is too long");
+    const auto Entry = nlohmann::json::parse(Element.Text, nullptr, false);
+    if (Entry.is_discarded())
+      throw host_list_error(Path + ": is not valid JSON");
+    host_list_entry Host = decodeEntry(Entry, Element.Index);
+    if (!Names.insert(Host.Name).second)
+      throw host_list_error(Path + ".name: is given twice");
+    IsTooLong |= Result.Hosts.size() == MaxEntries;
+    if (!IsTooLong)
+      Result.Hosts.push_back(std::move(Host));
+  } catch (const host_list_error &Failure) {
+    if (Result.Malformed.size() < host_list::MaxReasons)
+      Result.Malformed.emplace_back(Failure.what());
+  }
+}
+
+host_list host_list_reader::finish() {
+  const auto Text = Stream.finish();
+  const auto Root = nlohmann::json::parse(Text.value_or(""), nullptr, false);
   if (!Root.is_object() || !Root.contains("hosts") ||
       !Root.at("hosts").is_array())
     throw host_list_error("must be an object with a list 'hosts'");
-  const nlohmann::json &Entries = Root.at("hosts");
-  if (Entries.size() > MaxEntries)
-    throw host_list_error("has more than 40000 entries");
-  host_list Result;
-  Result.Hosts.reserve(Entries.size());
-  std::set<std::string> Names;
-  for (std::size_t Index = 0; Index < Entries.size(); ++Index) {
-    try {
-      host_list_entry Entry = decodeEntry(Entries[Index], Index);
-      if (!Names.insert(Entry.Name).second)
-        throw host_list_error("hosts[" + std::to_string(Index) +
-                              "].name: is given twice");
-      Result.Hosts.push_back(std::move(Entry));
-    } catch (const host_list_error &Failure) {
-      Result.Malformed.emplace_back(Failure.what());
-    }
-  }
-  return Result;
+  if (IsTooLong)
+    throw host_list_error("has more than 40000 hosts");
+  return std::move(Result);
+}
+
+host_list bw::decodeHostList(std::string_view Json) {
+  host_list_reader Reader;
+  Reader.write(Json);
+  return Reader.finish();
 }
--- a/modules/bw_platform/hosts/host_list.h
+++ b/modules/bw_platform/hosts/host_list.h
@@ -4,9 +4,12 @@
 #include "bw_core/errors/error.h"
 #include "bw_core/ids/identifiers.h"
 #include "bw_core/ids/units.h"
+#include "bw_json/stream/json_stream.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bw {
@@ -33,8 +36,10 @@
 
 struct host_list {
   std::vector<host_list_entry> Hosts;
-  /// Why other entries were left out, with the entry and the field.
+  /// Why other entries were left out, with the entry and the field; the first
+  /// `MaxReasons` of them.
   std::vector<std::string> Malformed;
+  static constexpr std::size_t MaxReasons = 16;
 };
 
 /// A host list that cannot be used.
@@ -44,10 +49,32 @@
   std::string_view code() const override { return "host_list_invalid"; }
 };
 
-/// Decodes the JSON of `GET /v1/hosts`. Leaves out unknown fields, since the
-/// platform may add some, and entries that do not describe a host.
-/// \throws host_list_error if the text is no host list
-host_list decodeHostList(const std::string &Json);
+/// Reads the JSON of `GET /v1/hosts`, part by part. Leaves out unknown fields,
+/// since the platform may add some, and entries that do not describe a host.
+/// Holds nothing of what it leaves out.
+class host_list_reader {
+public:
+  host_list_reader();
+  host_list_reader(const host_list_reader &) = delete;
+  host_list_reader &operator=(const host_list_reader &) = delete;
+
+  void write(std::string_view Part) { Stream.write(Part); }
+  /// \throws host_list_error if the text is no host list, or has more hosts
+  /// than any platform
+  host_list finish();
+
+private:
+  void readEntry(const json_element &Element);
+
+  host_list Result;
+  std::set<std::string> Names;
+  bool IsTooLong = false;
+  json_stream Stream;
+};
+
+/// Reads a whole list that is in memory.
+/// \throws host_list_error
+host_list decodeHostList(std::string_view Json);
 
 } // namespace bw
 
--- a/modules/bw_schema/bw_schema.h
+++ b/modules/bw_schema/bw_schema.h
@@ -14,6 +14,7 @@
 #include "bw_schema/errors/field_fault.h"
 #include "bw_schema/hash/sha256.h"
 #include "bw_schema/json/json_codec.h"
+#include "bw_schema/parse/bounded_parse.h"
 #include "bw_schema/validation/configuration_validator.h"
 #include "bw_schema/validation/names.h"
 #include "bw_schema/yaml/configuration_files.h"
--- a/modules/bw_schema/chunks/configuration_chunks.cpp
+++ b/modules/bw_schema/chunks/configuration_chunks.cpp
@@ -3,6 +3,7 @@
 #include "bw_core/random/stable_hash.h"
 #include "bw_schema/errors/field_fault.h"
 #include "bw_schema/hash/sha256.h"
+#include "bw_schema/parse/bounded_parse.h"
 
 #include <google/protobuf/io/coded_stream.h>
 #include <google/protobuf/io/zero_copy_stream_impl_lite.h>
@@ -121,7 +122,7 @@
     if (sha256Hex(Chunk.Content) != Chunk.Hash)
       throw chunk_error(Chunk.Hash, "its content has another hash");
     schema::configuration Part;
-    if (!Part.ParseFromString(Chunk.Content))
+    if (!parseBounded(Chunk.Content, Part))
       throw chunk_error(Chunk.Hash, "it cannot be decoded");
     // A later schema's list would be lost when the configuration is next split.
     if (!Part.GetReflection()->GetUnknownFields(Part).empty())
