--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -5,6 +5,7 @@
 #include "tests/soak/soak_hosts.h"
 #include "tests/soak/soak_operators.h"
 #include "tests/soak/soak_servers.h"
+#include "tests/soak/soak_writer.h"
 
 #include <iostream>
 
@@ -74,6 +75,7 @@
           First + (Last - First) * Count / Course.Options.Restores,
           [this, Count] { restoreStore(static_cast<std::size_t>(Count)); });
     Crowds.plan(First, Last);
+    Writer.plan(First, Last);
     Course.at(Last + Recovery, [] {});
     End = Last + Recovery;
   }
@@ -130,7 +132,8 @@
                        .Allowances = Course.Checker.allowances(),
                        .Faults = Faults,
                        .Restores = Operators.restores(),
-                       .Crowds = Crowds.connected()};
+                       .Crowds = Crowds.connected(),
+                       .OddWrites = Writer.writes()};
     for (const violation &Each : Result.Violations)
       if (!Each.Label.value().empty())
         for (std::string &Line : Hosts.logLines(Each.Label))
@@ -145,6 +148,7 @@
   soak_hosts Hosts{Course, Store.port()};
   soak_crowds Crowds{Course, Hosts};
   soak_callers Callers{Course, Hosts, Operators};
+  soak_writer Writer{Course, Store};
   time_point End{};
   std::size_t Faults = 0;
 };
@@ -159,7 +163,8 @@
                            const soak_result &Result) {
   std::cout << "seed " << Options.Seed << ": " << Result.Faults << " faults, "
             << Result.Restores << " restores, " << Result.Crowds << " crowds, "
-            << Result.Requests << " requests, " << Result.Served << " served, "
+            << Result.OddWrites << " odd entries, " << Result.Requests
+            << " requests, " << Result.Served << " served, "
             << Result.Unauthenticated << " with refused keys, "
             << Result.Allowances.Refused << " answered 429 ("
             << Result.Allowances.RefusedInside
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -37,6 +37,8 @@
   std::size_t Restores = 0;
   /// Crowds of slow clients that were connected to a host.
   std::size_t Crowds = 0;
+  /// Entries that another writer put into the store.
+  std::size_t OddWrites = 0;
 };
 
 /// Runs the real gateway program as separate processes on loopback, with the
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_ASSERT(Result.Unauthenticated > 0);
     CPPUNIT_ASSERT(Result.Allowances.Refused > 0);
     CPPUNIT_ASSERT(Result.Crowds > 0);
+    CPPUNIT_ASSERT(Result.OddWrites > 0);
   }
 
   // The same while the store comes back from a copy, again and again.
