--- a/modules/bw_platform/client/platform_client.cpp
+++ b/modules/bw_platform/client/platform_client.cpp
@@ -74,20 +74,21 @@
                          .Position = {.Era = Era, .Version = *Version}};
 }
 
+json_shape listShape() {
+  const json_shape Item{
+      .Members = {{.Name = "name", .IsName = true}, {.Name = "version"}}};
+  return {
+      .Members = {{.Name = "items", .Elements = {Item}, .IsStreamed = true}}};
+}
+
 /// Reads the names and versions of a list, part by part.
 class item_reader {
 public:
   explicit item_reader(std::size_t Limit)
-      : Limit(Limit),
-        Stream({.Shape = {.Members = {{.Name = "items",
-                                       .Elements =
-                                           {{.Members = {{.Name = "name",
-                                                          .IsName = true},
-                                                         {.Name = "version"}}}},
-                                       .IsStreamed = true}}},
-                .OnElement = [this](const json_element &Element) {
-                  readItem(Element);
-                }}) {}
+      : Limit(Limit), Stream({.Shape = listShape(),
+                              .OnElement = [this](const json_element &Element) {
+                                readItem(Element);
+                              }}) {}
 
   void write(std::string_view Part) { Stream.write(Part); }
 
