Give up an odd object of the audit log, not its export

One object of another writer that is named like a segment ended `audit_export` and `bwctl` replays, and a page held up to 1,000 values of 1 MB.

Cause: a segment that cannot be decoded ended the reading of the page, and only the number of segments bounded it.

Change: such objects are left out, logged by the daemon and named as findings by the replay. A page ends at 4 MB of values.

--- a/modules/bw_control/commands/control_program.cpp
+++ b/modules/bw_control/commands/control_program.cpp
@@ -62,8 +62,10 @@
   return Text.str();
 }
 
+// Appends to the findings what cannot be read.
 void replaySegments(const audit_store &Store, audit_replay &Replay,
-                    std::vector<schema::audit_entry> &Confirmed) {
+                    std::vector<schema::audit_entry> &Confirmed,
+                    std::vector<std::string> &Findings) {
   std::string After;
   do {
     const audit_page Page = Store.read(After, PageSegments);
@@ -73,6 +75,8 @@
         if (Entry.event() == schema::audit_entry::confirmed)
           Confirmed.push_back(Entry);
       }
+    for (const std::string &Name : Page.Malformed)
+      Findings.push_back("segment " + Name + " cannot be read");
     After = Page.Next;
   } while (!After.empty());
 }
@@ -318,7 +322,7 @@
 
 void control_program::replayAudit(const command_line &Line) const {
   audit_replay Replay;
-  std::vector<std::string> Missing;
+  std::vector<std::string> Findings;
   if (!Line.File.empty()) {
     for (const auto &Entry : parseAuditLines(readText(Line.File), Line.File))
       Replay.add(Entry);
@@ -326,14 +330,16 @@
     const platform_client Client(
         {.Url = Line.PlatformUrl, .Send = Options.Send});
     std::vector<schema::audit_entry> Confirmed;
-    replaySegments(audit_store(Client.objectStore()), Replay, Confirmed);
-    Missing = missingConfirmations(Client, Confirmed);
+    replaySegments(audit_store(Client.objectStore()), Replay, Confirmed,
+                   Findings);
+    const auto Missing = missingConfirmations(Client, Confirmed);
+    Findings.insert(Findings.end(), Missing.begin(), Missing.end());
   } else {
     throw control_error(exit_code::Usage, "--platform or --file is required");
   }
   audit_summary Summary = Replay.finish();
-  Summary.Findings.insert(Summary.Findings.end(), Missing.begin(),
-                          Missing.end());
+  Summary.Findings.insert(Summary.Findings.end(), Findings.begin(),
+                          Findings.end());
   Options.Out << summaryText(Summary);
   if (!Summary.Findings.empty())
     throw control_error(exit_code::Invalid, join(Summary.Findings));
--- a/modules/bw_daemon/platform/platform_service.cpp
+++ b/modules/bw_daemon/platform/platform_service.cpp
@@ -124,6 +124,11 @@
                [this](schema::audit_entry::audit_event Event,
                       const operator_id &Operator, const std::string &Detail) {
                  audit(Event, Operator.value(), "", "", Detail);
+               },
+           .OnMalformedSegment =
+               [](const std::string &Name) {
+                 logEvent(log_event::InputMalformed,
+                          {{"kind", "audit"}, {"name", Name}});
                }}),
       Audit(Store), AuditEntries({.Collector = Options.Host}),
       Commands(Clock, {.Capacity = 4'096}) {}
--- a/modules/bw_operations/audit/audit_store.cpp
+++ b/modules/bw_operations/audit/audit_store.cpp
@@ -11,15 +11,18 @@
 
 const std::string Kind = "audit";
 
-schema::audit_segment readSegment(const object_store &Store,
-                                  const std::string &Name) {
+// Adds the object of this name. Returns the size of its value.
+std::size_t readSegment(const object_store &Store, const std::string &Name,
+                        audit_page &Page) {
   const read_answer Answer = Store.Read({.Kind = Kind, .Name = Name});
   if (Answer.Outcome != read_outcome::Found)
     throw platform_unavailable_error();
   schema::audit_segment Segment;
-  if (!parseBounded(Answer.Object.Value, Segment))
-    throw stored_object_error(Kind + "/" + Name);
-  return Segment;
+  if (parseBounded(Answer.Object.Value, Segment))
+    Page.Segments.push_back(std::move(Segment));
+  else
+    Page.Malformed.push_back(Name);
+  return Answer.Object.Value.size();
 }
 
 } // namespace
@@ -56,8 +59,12 @@
                              std::size_t Limit) const {
   audit_page Page;
   std::string Place = After;
-  while (Page.Segments.size() < Limit) {
-    const std::size_t Wanted = Limit - Page.Segments.size();
+  std::size_t Size = 0;
+  const auto Count = [&Page] {
+    return Page.Segments.size() + Page.Malformed.size();
+  };
+  while (Count() < Limit) {
+    const std::size_t Wanted = Limit - Count();
     const list_answer Listed = Store.List(Kind, Place, Wanted);
     if (Listed.Outcome != read_outcome::Found)
       throw platform_unavailable_error();
@@ -66,8 +73,10 @@
       // Other writers' objects hold no segments.
       if (!isObjectName(Each.Name))
         continue;
-      Page.Segments.push_back(readSegment(Store, Each.Name));
+      Size += readSegment(Store, Each.Name, Page);
       Page.Next = Each.Name;
+      if (Size >= PageSize.value())
+        return Page;
     }
     if (Listed.Objects.size() < Wanted) {
       Page.Next.clear();
--- a/modules/bw_operations/audit/audit_store.h
+++ b/modules/bw_operations/audit/audit_store.h
@@ -1,6 +1,7 @@
 #ifndef BW_OPERATIONS_AUDIT_AUDIT_STORE_H
 #define BW_OPERATIONS_AUDIT_AUDIT_STORE_H
 
+#include "bw_core/ids/units.h"
 #include "bw_platform/objects/object_store.h"
 #include "bw_schema/bramleywinch.pb.h"
 
@@ -21,6 +22,8 @@
 /// Segments of the audit log.
 struct audit_page {
   std::vector<schema::audit_segment> Segments;
+  /// Names of objects that hold no segment although they are named like one.
+  std::vector<std::string> Malformed = {};
   /// Name to go on after; empty at the end.
   std::string Next;
 };
@@ -36,8 +39,11 @@
 
   audit_write_outcome write(const schema::audit_segment &Segment) const;
 
-  /// Segments after a name, at most `Limit`.
-  /// \throws platform_unavailable_error, stored_object_error
+  /// Values of segments that one page holds, but for the last one.
+  static constexpr byte_count PageSize = mebibytes(4);
+
+  /// Segments after a name, at most `Limit` objects and about `PageSize`.
+  /// \throws platform_unavailable_error
   audit_page read(const std::string &After, std::size_t Limit) const;
 
 private:
--- a/modules/bw_operations/audit/audit_test.cpp
+++ b/modules/bw_operations/audit/audit_test.cpp
@@ -5,6 +5,8 @@
 #include "bw_operations/errors/operations_errors.h"
 #include "bw_platform/objects/memory_object_store.h"
 #include "bw_schema/errors/declaration_error.h"
+#include "bw_schema/parse/bounded_parse.h"
+#include "bw_testing/memory/allocation_peak.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <google/protobuf/util/message_differencer.h>
@@ -36,6 +38,14 @@
                        .Capacity = byte_count(Capacity)});
 }
 
+// A segment of entries without members.
+std::string emptyEntries(std::size_t Size) {
+  std::string Result;
+  while (Result.size() < Size)
+    Result.append("\x1a\0", 2);
+  return Result;
+}
+
 } // namespace
 
 class audit_test : public CppUnit::TestFixture {
@@ -46,6 +56,7 @@
   CPPUNIT_TEST(bufferIsBounded);
   CPPUNIT_TEST(faultsOfTheWrite);
   CPPUNIT_TEST(readsPageByPage);
+  CPPUNIT_TEST(oddSegmentsHideNoOther);
   CPPUNIT_TEST(replayFindsWhatDoesNotFit);
   CPPUNIT_TEST_SUITE_END();
 
@@ -217,6 +228,40 @@
     CPPUNIT_ASSERT_THROW(Store.read("", 2), platform_unavailable_error);
   }
 
+  // Guards against an object of another writer that ends the export of all
+  // others, and against a page as long as all values together.
+  void oddSegmentsHideNoOther() {
+    memory_object_store Memory;
+    const audit_store Store(Memory.hooks());
+    const std::size_t Size = 1'000'000;
+    constexpr std::uint64_t Count = 12;
+    for (std::uint64_t Number = 1; Number <= Count; ++Number) {
+      schema::audit_segment Segment;
+      Segment.set_collector("h1");
+      Segment.set_number(Number);
+      *Segment.add_entries() = entryOf(Number);
+      CPPUNIT_ASSERT(Store.write(Segment) == audit_write_outcome::Written);
+    }
+    for (std::uint64_t Number = 1; Number <= Count; ++Number)
+      Memory.hooks().Create(
+          {"audit", "000000000000000-x-" + std::to_string(Number)},
+          Number % 2 == 0 ? std::string(Size, '\xff') : emptyEntries(Size));
+    std::uint64_t Found = 0;
+    std::size_t Malformed = 0;
+    std::string After;
+    do {
+      const allocation_peak Peak;
+      const audit_page Page = Store.read(After, 100);
+      CPPUNIT_ASSERT(Peak.value().value() <= audit_store::PageSize.value() +
+                                                 StoredMessageLimit.value());
+      Found += Page.Segments.size();
+      Malformed += Page.Malformed.size();
+      After = Page.Next;
+    } while (!After.empty());
+    CPPUNIT_ASSERT_EQUAL(Count, Found);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(Count), Malformed);
+  }
+
   void replayFindsWhatDoesNotFit() {
     audit_replay Replay;
     Replay.add(entryOf(4, schema::audit_entry::confirmed));
--- a/modules/bw_operations/rpc/operator_rpc.cpp
+++ b/modules/bw_operations/rpc/operator_rpc.cpp
@@ -214,6 +214,8 @@
   const std::uint32_t Limit =
       Request.max_segments() == 0 ? DefaultSegments : Request.max_segments();
   const audit_page Page = Audit.read(Request.after(), Limit);
+  for (const std::string &Name : Page.Malformed)
+    Options.OnMalformedSegment(Name);
   schema::audit_export_answer Answer;
   for (const schema::audit_segment &Segment : Page.Segments)
     for (const schema::audit_entry &Entry : Segment.entries())
--- a/modules/bw_operations/rpc/operator_rpc.h
+++ b/modules/bw_operations/rpc/operator_rpc.h
@@ -40,6 +40,10 @@
                      const std::string &Detail)>
       OnAudit = [](schema::audit_entry::audit_event, const operator_id &,
                    const std::string &) {};
+  /// Called for an object of the audit log that cannot be read and is left out
+  /// of an export.
+  std::function<void(const std::string &Name)> OnMalformedSegment =
+      [](const std::string &) {};
 };
 
 /// The calls of the service `operations` in bramleywinch.proto, from JSON text
