Remove an unused state of the JSON reader

Cause: a state that nothing enters was left from an earlier form, and a comment did not say where a loop stops. Change: both; no change of behaviour.

--- a/modules/bw_json/stream/json_stream.cpp
+++ b/modules/bw_json/stream/json_stream.cpp
@@ -57,7 +57,6 @@
   while (At != End) {
     switch (Lexing) {
     case lexing::Text:
-    case lexing::Escape:
       At = readText(At, End);
       break;
     case lexing::Scalar:
@@ -93,8 +92,8 @@
                                         : std::string_view();
 }
 
-// Reads brackets and separators in what is not used. Stops before a value that
-// is none, and before the end of the outermost container.
+// Reads brackets and separators in what is not used. Stops before a text or a
+// scalar, and before the end of the outermost unused container.
 const char *json_stream::skipStructure(const char *At, const char *End) {
   for (; At != End; ++At) {
     const char Character = *At;
--- a/modules/bw_json/stream/json_stream.h
+++ b/modules/bw_json/stream/json_stream.h
@@ -69,7 +69,7 @@
   std::string_view openName() const;
 
 private:
-  enum class lexing : std::uint8_t { Between, Text, Escape, Scalar };
+  enum class lexing : std::uint8_t { Between, Text, Scalar };
   enum class expected : std::uint8_t {
     Value,
     ValueOrEnd,
